--- a/saffronlane/benchlink.py
+++ b/saffronlane/benchlink.py
@@ -223,7 +223,16 @@
 def _ask(record: bytes, tail: bytes) -> tuple[int, api.Event]:
     instance, corr, cls, tenant, key, remaining, cost, memory, tables, flags = _ASK.unpack_from(record)
     return instance, api.Arrival(
-        corr, cls, remaining, tenant, key, cost if flags & 1 else 0.0, memory, tables, bool(flags & 2), bool(flags & 4)
+        corr,
+        cls,
+        remaining,
+        tenant,
+        key,
+        cost if flags & 1 else 0.0,
+        memory,
+        tables,
+        bool(flags & 2),
+        bool(flags & 4),
     )
 
 
@@ -412,7 +421,9 @@
     while first := source.read(1):
         head = first + _read_exactly(source, HEADER_SIZE - 1, "a batch header")
         length, count, now = _HEAD.unpack(head)
-        body = _read_exactly(source, length - (HEADER_SIZE - 4), "a batch") if length >= HEADER_SIZE - 4 else b""
+        body = (
+            _read_exactly(source, length - (HEADER_SIZE - 4), "a batch") if length >= HEADER_SIZE - 4 else b""
+        )
         if length < HEADER_SIZE - 4 or len(body) < count * EVENT_SIZE:
             raise WireError(f"batch of {length} bytes is too short for {count} records")
         records, tail = body[: count * EVENT_SIZE], body[count * EVENT_SIZE :]
--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -234,7 +234,15 @@
 
 
 Event = (
-    ListUpdate | Arrival | StreamStarted | AttemptEnded | ClientGone | Note | TimerFired | ProbeResult | PeerMessage
+    ListUpdate
+    | Arrival
+    | StreamStarted
+    | AttemptEnded
+    | ClientGone
+    | Note
+    | TimerFired
+    | ProbeResult
+    | PeerMessage
 )
 
 
@@ -319,4 +327,17 @@
     text: str
 
 
-Action = Send | SetTerms | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Tell | Subscribe | FetchList | Log
+Action = (
+    Send
+    | SetTerms
+    | Cancel
+    | Refuse
+    | Fail
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Tell
+    | Subscribe
+    | FetchList
+    | Log
+)
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -1,9 +1,9 @@
 """Settings, events, actions: see `saffronlane/interface.py`. This module makes every decision of a gateway.
 
 Read it from `Gateway.step` at the bottom upwards. The ordinary path is group EDF: a query's deadline is its
-arrival plus MULTIPLIER x ExecTime; while an engine is under its share, the earliest deadline names a group and
-its smallest query leaves first, to the less loaded of the first two engines in its table group's hash order.
-A held query whose time has lapsed is refused. Everything else guards the rules or copes with trouble.
+arrival plus MULTIPLIER x ExecTime; while an engine is under its share, the earliest deadline names a group
+and its smallest query leaves first, to the less loaded of the first two engines in its table group's hash
+order. A held query whose time has lapsed is refused. The rest guards the rules or copes with trouble.
 """
 
 from __future__ import annotations
@@ -18,23 +18,25 @@
 
 # --- the ordinary path ---
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
-GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, as a share of its span; the paper's
+GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 2.0  # share under full pressure, over the gateway count; the design's start value
+LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
 MEMORY_ANSWERS = 40.0  # answers that a mean remembers: a handful of seconds of one class's traffic
 RATIO_DECAY = 0.97  # per answer, for latency over estimate; the same horizon as MEMORY_ANSWERS
-EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what comes after it
+EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
 # --- pressure ---
-PRESSED = 2.0  # latency over this x the best seen is pressure: the knee is passed, queries wait for each other
+PRESSED = 2.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
 RELAXED = 1.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
 SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
 SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
 # --- guards ---
-COLD_MARGIN = 0.7  # use only this share of a cold engine's budget: our notion of a query's work is an estimate
+COLD_MARGIN = 0.7  # use only this share of a cold engine's budget: a query's work is but estimated
 END_MARGIN = 0.03  # answer this long before the client's time ends; covers a few ticks of delay
 TTL_MARGIN = 0.25  # a keyed repeat leaves this long before its window closes: it must arrive inside it
+LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
 HOUSEKEEPING = 0.05  # seconds between looks at silent engines and lapsed queries
 # --- health ---
 FAIL_STEP = 0.2  # weight of one outcome in an engine's failure share: five bad ones in a row condemn it
@@ -105,10 +107,16 @@
             work = cost * (self.work_sum / self.estimate_sum if self.work_sum else 1.0)
         return work / self.cls.threads * self.best
 
+    def aim_time(self, cost: float) -> float:
+        """Time after arrival within which an answer earns the full worth."""
+        return self.cls.aim + self.cls.aim_stretch * self.calm_time(cost) / self.best
+
     def exec_time(self, cost: float) -> float:
         """The design's ExecTime: estimate x learned ratio, or the mean where no estimate is told."""
         crowded = cost * self.latency_sum / self.estimate_sum if cost and self.estimate_sum else self.latency
-        return max(1e-3, min(crowded, EXEC_CAP * self.calm_time(cost)) if self.count >= SEED_ANSWERS else crowded)
+        if self.count >= SEED_ANSWERS:
+            crowded = min(crowded, EXEC_CAP * self.calm_time(cost))
+        return max(1e-3, crowded)
 
 
 class Engine:
@@ -142,7 +150,14 @@
     __slots__ = ("cancelled", "engine", "grant", "job", "n", "outcome", "sent", "threads")
 
     def __init__(self, job: Job, n: int, engine: Engine, now: float, threads: float, grant: float) -> None:
-        self.job, self.n, self.engine, self.sent, self.threads, self.grant = job, n, engine, now, threads, grant
+        self.job, self.n, self.engine, self.sent, self.threads, self.grant = (
+            job,
+            n,
+            engine,
+            now,
+            threads,
+            grant,
+        )
         self.outcome: Outcome | None = None
         self.cancelled = False
 
@@ -150,11 +165,14 @@
 class Job:
     """One request of a client."""
 
-    __slots__ = ("arrival", "attempts", "cls", "cost", "deadline", "ended", "held", "id", "index", "key", "limit",
-                 "memory", "out", "reruns", "streaming", "tables", "tenant", "avoid")  # fmt: skip
-
     def __init__(self, event: api.Arrival, cls: api.ClassSettings, now: float) -> None:
-        self.id, self.index, self.cls, self.tenant, self.key = event.request, event.cls, cls, event.tenant, event.key
+        self.id, self.index, self.cls, self.tenant, self.key = (
+            event.request,
+            event.cls,
+            cls,
+            event.tenant,
+            event.key,
+        )
         self.arrival, self.limit = now, now + sane(event.remaining, 0.0, cls.deadline or 1e9)
         self.cost, self.memory, self.tables = sane(event.cost), sane(event.memory_mb), event.tables
         self.deadline = self.limit
@@ -192,6 +210,7 @@
         self.taken: deque[float] = deque()  # rule 7: arrivals in the window
         self.extras: deque[float] = deque()  # rule 7: further attempts in the window
         self.distrust = False
+        self.next_lapse = -math.inf
         self.clock_set = self.asked = False
         self.next_token = 1
         self.timers: dict[int, Job | None] = {}  # None: housekeeping
@@ -303,7 +322,7 @@
         return engine.threads / (engine.cores * warm)
 
     def place(self, job: Job) -> Engine | None:
-        """The less loaded of the first two in hash order, moving on past SPILL; None: all are at their limit."""
+        """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
         usable = [e for e in self.order(job.tables) if self.allowed(e, job) and self.healthy(e, job)]
         usable = [e for e in usable if e.id not in job.avoid] or usable
         free = [e for e in usable if e.threads < e.limit and self.cold_room(e, job)]
@@ -349,12 +368,19 @@
         """The design's refusal: now + ExecTime passes the query's, the class's or the client's limit."""
         known = self.learned[job.index]
         needed = known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0
-        return self.now + needed > min(job.deadline, job.limit - END_MARGIN)
+        limit = min(job.deadline, job.limit - END_MARGIN)
+        if job.cls.late_value < LATE_WORTH:
+            # Exception, while engines are at their limits (nothing is held otherwise): a class whose late answers
+            # earn next to nothing is limited by its aim, or a queue would turn every answer into a late one.
+            limit = min(limit, job.arrival + known.aim_time(job.cost))
+        return self.now + needed > limit
 
     def release(self) -> None:
         """Group EDF over the held queries, until none can be placed."""
-        for job in [j for j in self.held if self.expired(j) or self.lapsed(j)]:
-            self.finish(job)
+        if self.now >= self.next_lapse:
+            self.next_lapse = self.now + LAPSE_GAP
+            for job in [j for j in self.held if self.expired(j) or self.lapsed(j)]:
+                self.finish(job)
         waiting = [j for j in self.held if self.turn(j) and self.extra_allowed(j)]
         waiting.sort(key=lambda j: (j.deadline, j.id))
         while waiting:
@@ -364,7 +390,11 @@
             job = min(group, key=lambda j: (self.exec_time(j), j.deadline, j.id))
             waiting.remove(job)
             engine = self.place(job)
-            if engine is not None and self.extra_allowed(job):
+            if engine is None:
+                # No room for this one is no room for the others of its class that may go anywhere; trying
+                # each of a long queue would cost far more than a gateway's processor.
+                waiting = [j for j in waiting if j.index != job.index or j.attempts or job.attempts]
+            elif self.extra_allowed(job):
                 self.send(job, engine)
 
     def terms(self, job: Job) -> tuple[float, int]:
@@ -475,7 +505,11 @@
         engine.memory -= attempt.grant
         attempt.outcome = event.outcome
         job.out -= 1
-        if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and job.cls.ordered and job.key:
+        if (
+            event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+            and job.cls.ordered
+            and job.key
+        ):
             self.key_rest[job.key] = self.now + self.rules.order_settle
         if event.outcome is Outcome.MOOT and attempt.n and self.extras:
             self.extras.pop()
@@ -544,7 +578,9 @@
         distrust = sum(e.ill for e in everyone) > ILL_SHARE * len(everyone)
         if distrust != self.distrust:
             self.distrust = distrust
-            self.log("most engines look ill, verdicts ignored" if distrust else "verdicts on engines hold again")
+            self.log(
+                "most engines look ill, verdicts ignored" if distrust else "verdicts on engines hold again"
+            )
 
     def look_for_silence(self) -> None:
         """A busy engine with no answer and no note while others speak: take our work back from it."""
