--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -370,8 +370,8 @@
         needed = known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0
         limit = min(job.deadline, job.limit - END_MARGIN)
         if job.cls.late_value < LATE_WORTH:
-            # Exception, while engines are at their limits (nothing is held otherwise): a class whose late answers
-            # earn next to nothing is limited by its aim, or a queue would turn every answer into a late one.
+            # Exception, while engines are at their limits (nothing is held otherwise): a class whose late
+            # answers earn next to nothing is limited by its aim, or a queue would make every answer late.
             limit = min(limit, job.arrival + known.aim_time(job.cost))
         return self.now + needed > limit
 
