--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -20,7 +20,7 @@
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
 GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
-SHARE_THREADS_PER_CORE = 2.0  # share under full pressure, over the gateway count; the design's start value
+SHARE_THREADS_PER_CORE = 1.0  # share under full pressure, over the gateway count; below any knee
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
