--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -518,7 +518,7 @@
             elapsed = sane(event.elapsed, 1e-4, 1e4)
             crowd = self.learned[job.index].answered(job, elapsed, sane(event.work), sane(event.memory_mb))
             self.feel(engine, crowd)
-        elif event.outcome is Outcome.REJECTED:
+        elif event.outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
             self.feel(engine, PRESSED * 2.0)
         if job.ended:
             self.leave_key(job)
@@ -554,7 +554,7 @@
         if outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
             engine.broke_at = self.now
             engine.fails += HARD_FAIL_STEP * (1.0 - engine.fails)
-        elif outcome in (Outcome.ERROR, Outcome.TIMEOUT):
+        elif outcome is Outcome.ERROR:  # a time-out says that time ran out, not that the engine failed
             engine.fails += FAIL_STEP * (1.0 - engine.fails)
         elif outcome is Outcome.OK:
             engine.fails -= FAIL_STEP * engine.fails
