--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -45,6 +45,7 @@
 ILL_SHARE = 0.5  # with more than this share of engines ill the verdict is distrusted: the cause is elsewhere
 TRIAL_GAP, TRIAL_GAP_MOST = 0.4, 3.0  # seconds between trials of an ill engine; doubled while trials fail
 SILENT_NOTES = 2.5  # note periods without any word from a busy engine before it counts as silent
+OVERDUE = 5.0  # without notes, silence counts once some attempt has taken this x its ExecTime
 SILENT_FLOOR = 2.0  # the same in seconds where no notes come
 # --- bad plans ---
 BEHIND = 4.0  # cancel when the remainder would take this x a fresh run: far outside the usual scatter
@@ -583,19 +584,27 @@
             )
 
     def look_for_silence(self) -> None:
-        """A busy engine with no answer and no note while others speak: take our work back from it."""
+        """A busy engine with no word for long while others speak: take our work back from it.
+
+        Covers hangs, cut links and processes that died unseen. Without notes a long query is silent by
+        nature, so one of the attempts must also be far over its own ExecTime. Harmful if a jam looks like
+        silence: hence no verdict when half of the busy engines are quiet.
+        """
         patience = max(SILENT_FLOOR, SILENT_NOTES * self.settings.note_period)
         busy = [e for e in self.engines.values() if e.out]
         quiet = [e for e in busy if self.now - max(e.heard, min(a.sent for a in e.out.values())) > patience]
-        if not quiet or 2 * len(quiet) > max(len(busy), 2):
+        if 2 * len(quiet) > max(len(busy), 2):
             return
         for engine in quiet:
-            if not self.settings.note_period and len(engine.out) < 2:
-                continue  # without notes one long query is no sign
+            outs = list(engine.out.values())
+            if not self.settings.note_period and not any(
+                self.now - a.sent > max(patience, OVERDUE * self.exec_time(a.job)) for a in outs
+            ):
+                continue
             if not engine.ill:
                 self.condemn(engine, "silent")
                 self.trust()
-            for attempt in list(engine.out.values()):
+            for attempt in outs:
                 if self.may_repeat(attempt.job):
                     self.cancel(attempt)
 
