--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -146,6 +146,9 @@
         self.next_trial, self.trial_gap, self.probing = -math.inf, TRIAL_GAP, False
         self.sent.clear()
 
+    def loading(self, tables: float) -> bool:
+        return any(a.job.cls.is_load and a.job.tables == tables for a in self.out.values())
+
 
 class Attempt:
     __slots__ = ("cancelled", "engine", "grant", "job", "n", "outcome", "sent", "threads")
@@ -326,6 +329,9 @@
         """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
         usable = [e for e in self.order(job.tables) if self.allowed(e, job) and self.healthy(e, job)]
         usable = [e for e in usable if e.id not in job.avoid] or usable
+        if job.cls.is_load or job.cls.waits_for_loads:
+            # A load holds its group on its engine; a second one there would stand still and keep its memory.
+            usable = [e for e in usable if not e.loading(job.tables)] or usable
         free = [e for e in usable if e.threads < e.limit and self.cold_room(e, job)]
         if not free:
             return None
