--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -325,6 +325,12 @@
         warm = 1.0 - self.coldness(engine) * (1.0 - self.rules.cold_share)
         return engine.threads / (engine.cores * warm)
 
+    def fits(self, engine: Engine, job: Job) -> bool:
+        """Under its limit; a query on several threads must fit whole, so that short ones keep a lane."""
+        return engine.threads < engine.limit and (
+            not engine.threads or engine.threads + job.cls.threads <= engine.limit + 1.0
+        )
+
     def place(self, job: Job) -> Engine | None:
         """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
         usable = [e for e in self.order(job.tables) if self.allowed(e, job) and self.healthy(e, job)]
@@ -332,7 +338,7 @@
         if job.cls.is_load or job.cls.waits_for_loads:
             # A load holds its group on its engine; a second one there would stand still and keep its memory.
             usable = [e for e in usable if not e.loading(job.tables)] or usable
-        free = [e for e in usable if e.threads < e.limit and self.cold_room(e, job)]
+        free = [e for e in usable if self.fits(e, job) and self.cold_room(e, job)]
         if not free:
             return None
         everyone = self.ready()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,100 @@
+"""A small driver around a Gateway: plain settings, and a record of what was sent where."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from saffronlane import interface as api
+from saffronlane.rules import Gateway
+
+LOOKUP = api.ClassSettings("short", aim=1.0, deadline=5.0, value=1.0, threads=1)
+REPORT = api.ClassSettings("long", aim=2.0, deadline=20.0, value=8.0, late_value=0.4, threads=4)
+
+
+def make_settings(**changes: object) -> api.Settings:
+    base = api.Settings(
+        classes=(LOOKUP, REPORT),
+        kinds=(api.KindSettings("kind", 8.0, 16384.0),),
+        limits=api.Limits(cancel=True, max_attempts=4, max_retry_after=2.0, retry_after=True),
+        guarantees=api.Guarantees(answer_slack=0.02, drain_grace=0.5),
+        tick=0.005,
+    )
+    return replace(base, **changes)
+
+
+def one_class(**changes: object) -> tuple[api.ClassSettings, ...]:
+    return (replace(LOOKUP, **changes),)
+
+
+def engine_id(index: int) -> bytes:
+    return bytes([10, 0, 0, index, 31, 144])
+
+
+class Driver:
+    """Steps one Gateway and keeps its actions by kind."""
+
+    def __init__(self, settings: api.Settings, engines: int = 4, seed: int = 7, now: float = 100.0) -> None:
+        self.gateway = Gateway(settings, seed)
+        self.now = now
+        self.actions: list[api.Action] = []
+        self.next_request = 0
+        self.attempts: dict[int, int] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.list([api.EngineEntry(engine_id(i), api.EngineState.READY) for i in range(engines)])
+
+    def step(self, *events: api.Event, at: float | None = None) -> list[api.Action]:
+        self.now = self.now if at is None else at
+        actions = self.gateway.step(self.now, list(events))
+        for action in actions:
+            if isinstance(action, api.SetTimer):
+                self.timers.append((action.at, action.token))
+        self.actions += actions
+        return actions
+
+    def list(self, entries: list[api.EngineEntry], mode: api.ListMode = api.ListMode.FULL) -> None:
+        self.step(api.ListUpdate(mode, 1, tuple(entries)))
+
+    def ask(self, cls: int = 0, remaining: float | None = None, **fields: object) -> int:
+        """One arrival; returns the request's number."""
+        event = self.arrival(cls, remaining, **fields)
+        self.step(event)
+        return event.request
+
+    def arrival(self, cls: int = 0, remaining: float | None = None, **fields: object) -> api.Arrival:
+        self.next_request += 1
+        deadline = self.gateway.settings.classes[cls].deadline
+        return api.Arrival(self.next_request, cls, deadline if remaining is None else remaining, **fields)
+
+    def end(self, request: int, outcome: api.Outcome, attempt: int = 0, **fields: object) -> list[api.Action]:
+        engine = self.sends(request)[attempt].engine
+        elapsed = fields.pop("elapsed", 0.1)
+        final = fields.pop("final", outcome is api.Outcome.OK)
+        return self.step(api.AttemptEnded(request, attempt, engine, outcome, elapsed, final, **fields))
+
+    def pass_time(self, until: float) -> list[api.Action]:
+        """Fire the timers that fall due, in order."""
+        seen = len(self.actions)
+        while self.timers and min(self.timers)[0] <= until:
+            at, token = min(self.timers)
+            self.timers.remove((at, token))
+            self.step(api.TimerFired(token), at=max(at, self.now))
+        self.now = max(self.now, until)
+        return self.actions[seen:]
+
+    def of_kind(self, kind: type, request: int | None = None) -> list:
+        return [
+            a for a in self.actions if isinstance(a, kind) and request in (None, getattr(a, "request", None))
+        ]
+
+    def sends(self, request: int | None = None) -> list[api.Send]:
+        return self.of_kind(api.Send, request)
+
+    def answers(self, request: int) -> list[api.Action]:
+        return [a for a in self.actions if isinstance(a, (api.Refuse, api.Fail)) and a.request == request]
+
+
+@pytest.fixture
+def driver() -> Driver:
+    return Driver(make_settings())
--- /dev/null
+++ b/tests/test_rules_kept.py
@@ -0,0 +1,262 @@
+"""One test or more for each of the seven rules; each fails when its guard is taken out."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from conftest import LOOKUP, Driver, engine_id, make_settings, one_class
+
+from saffronlane import interface as api
+from saffronlane.interface import Effect, EngineState, Group, ListMode, Outcome
+
+
+def entry(index: int, state: EngineState = EngineState.READY, **fields: object) -> api.EngineEntry:
+    return api.EngineEntry(engine_id(index), state, **fields)
+
+
+# --- 1: no request is lost ---
+
+
+def test_unanswered_request_ends_once_and_in_time(driver: Driver) -> None:
+    request = driver.ask(remaining=2.0)
+    driver.pass_time(101.5)
+    assert driver.answers(request) == []
+    driver.pass_time(102.0)
+    assert len(driver.answers(request)) == 1
+
+
+def test_attempt_time_out_fits_inside_the_clients_time(driver: Driver) -> None:
+    request = driver.ask(remaining=2.0)
+    assert 0.0 < driver.sends(request)[0].timeout < 2.0
+
+
+def test_empty_list_holds_and_then_refuses() -> None:
+    driver = Driver(make_settings(), engines=0)
+    request = driver.ask(remaining=1.0)
+    assert driver.sends() == [] and driver.answers(request) == []
+    driver.pass_time(101.0)
+    assert len(driver.of_kind(api.Refuse, request)) == 1
+
+
+def test_late_events_on_ended_requests_change_nothing(driver: Driver) -> None:
+    request = driver.ask()
+    driver.end(request, Outcome.OK)
+    before = len(driver.actions)
+    driver.end(request, Outcome.ERROR)
+    driver.step(api.ClientGone(request), api.ClientGone(999))
+    driver.step(api.Note(request, 0, engine_id(0), api.NoteKind.PROGRESS, 0.5), api.TimerFired(12345))
+    assert driver.actions[before:] == []
+
+
+# --- 2: no effect happens twice ---
+
+
+def test_unsafe_request_that_may_have_run_fails_and_is_not_repeated() -> None:
+    driver = Driver(make_settings(classes=one_class(effect=Effect.UNSAFE)))
+    request = driver.ask()
+    driver.end(request, Outcome.RESET)
+    assert len(driver.sends(request)) == 1
+    assert driver.answers(request) == [api.Fail(request)]
+
+
+@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.MOOT])
+def test_unsafe_request_that_never_ran_is_repeated_at_once(outcome: Outcome) -> None:
+    driver = Driver(make_settings(classes=one_class(effect=Effect.UNSAFE)))
+    request = driver.ask()
+    driver.end(request, outcome)
+    assert len(driver.sends(request)) == 2
+    assert driver.sends(request)[0].engine != driver.sends(request)[1].engine
+
+
+def test_keyed_request_is_repeated_only_in_its_zone() -> None:
+    classes = one_class(effect=Effect.KEYED, group=Group.ZONE, key_ttl=30.0)
+    driver = Driver(make_settings(classes=classes), engines=0)
+    driver.list([entry(i, zone=i % 3) for i in range(9)])
+    request = driver.ask()
+    driver.end(request, Outcome.RESET)
+    zones = [send.engine[3] % 3 for send in driver.sends(request)]
+    assert len(zones) == 2 and zones[0] == zones[1]
+
+
+def test_keyed_request_is_not_repeated_after_its_window() -> None:
+    driver = Driver(make_settings(classes=one_class(effect=Effect.KEYED, key_ttl=2.0)))
+    request = driver.ask()
+    driver.now += 2.0
+    driver.end(request, Outcome.RESET)
+    assert len(driver.sends(request)) == 1
+    assert driver.answers(request) == [api.Fail(request)]
+
+
+def test_keyed_window_counts_from_the_first_attempt_that_may_have_run() -> None:
+    driver = Driver(make_settings(classes=one_class(effect=Effect.KEYED, key_ttl=2.0, late_value=0.5)))
+    request = driver.ask()
+    driver.now += 1.5
+    driver.end(request, Outcome.REJECTED)
+    driver.now += 1.5
+    driver.end(request, Outcome.RESET, attempt=1)
+    assert len(driver.sends(request)) == 3
+
+
+def test_next_send_waits_for_the_outcome_of_a_cancel() -> None:
+    driver = Driver(make_settings(note_period=1.0))
+    for _ in range(6):
+        driver.end(driver.ask(), Outcome.OK, work=0.1)
+    request = driver.ask()
+    engine = driver.sends(request)[0].engine
+    driver.now += 1.0
+    driver.step(api.Note(request, 0, engine, api.NoteKind.PROGRESS, 0.01))
+    assert driver.of_kind(api.Cancel, request) == [api.Cancel(request, 0)]
+    assert len(driver.sends(request)) == 1
+    driver.end(request, Outcome.CANCELLED, elapsed=1.0)
+    assert len(driver.sends(request)) == 2
+
+
+# --- 3: drains are kept ---
+
+
+@pytest.mark.parametrize("state", [EngineState.DRAINING, EngineState.GONE])
+def test_nothing_goes_to_an_engine_that_drains_or_is_gone(state: EngineState) -> None:
+    driver = Driver(make_settings(), engines=2)
+    driver.list([entry(0, state)], ListMode.DELTA)
+    requests = [driver.ask(tables=float(i)) for i in range(12)]
+    assert {driver.sends(r)[0].engine for r in requests} == {engine_id(1)}
+
+
+def test_engine_absent_from_a_full_list_is_gone() -> None:
+    driver = Driver(make_settings(), engines=2)
+    driver.list([entry(1)])
+    requests = [driver.ask(tables=float(i)) for i in range(12)]
+    assert {driver.sends(r)[0].engine for r in requests} == {engine_id(1)}
+
+
+# --- 4: a cold engine is not pushed over ---
+
+COLD = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=14.0)
+COLD_BUDGET = 3.0 * 0.35 * 8.0 * 1.5  # work in any window that the engine survives, from all gateways
+
+
+def burst(driver: Driver, count: int) -> float:
+    """Send many requests of a known work at once; returns the work that left."""
+    before = len(driver.sends())
+    driver.step(*(driver.arrival() for _ in range(count)))
+    return 0.5 * (len(driver.sends()) - before)
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+def test_cold_engine_gets_at_most_its_budget(gateways: int) -> None:
+    driver = Driver(make_settings(guarantees=COLD, gateways=gateways), engines=1)
+    for _ in range(60):
+        driver.end(driver.ask(), Outcome.OK, work=0.5, elapsed=0.5)
+    driver.list([entry(0, started=driver.now)], ListMode.DELTA)
+    assert 0.0 < burst(driver, 100) <= COLD_BUDGET / gateways
+    driver.now += 20.0
+    driver.list([entry(0, started=100.0)], ListMode.DELTA)
+    assert burst(driver, 100) > COLD_BUDGET / gateways
+
+
+def test_rejected_and_cancelled_work_counts_against_a_cold_engine() -> None:
+    driver = Driver(make_settings(guarantees=COLD), engines=1)
+    driver.list([entry(0, started=driver.now)], ListMode.DELTA)
+    sent = 0.0
+    for _ in range(100):
+        request = driver.ask()
+        if driver.sends(request):
+            sent += 1.0  # the seed of a query's work: the class's aim on one thread
+            driver.end(request, Outcome.REJECTED)
+    assert sent <= COLD_BUDGET
+
+
+def test_engine_that_may_have_restarted_unseen_is_treated_as_cold() -> None:
+    driver = Driver(make_settings(guarantees=COLD), engines=1)
+    for _ in range(60):
+        driver.end(driver.ask(), Outcome.OK, work=0.5, elapsed=0.5)
+    broken = driver.ask()
+    driver.end(broken, Outcome.RESET)
+    driver.now += 3.0
+    driver.pass_time(driver.now)
+    driver.end(broken, Outcome.OK, attempt=1, work=0.5, elapsed=0.5)
+    assert burst(driver, 100) <= COLD_BUDGET
+
+
+# --- 5: order is kept ---
+
+
+def ordered_driver(settle: float = 0.0) -> Driver:
+    guarantees = api.Guarantees(order_settle=settle)
+    return Driver(make_settings(classes=one_class(ordered=True, late_value=0.5), guarantees=guarantees))
+
+
+def test_requests_of_one_key_run_one_after_another() -> None:
+    driver = ordered_driver()
+    first, second, other = driver.ask(key=5), driver.ask(key=5), driver.ask(key=6)
+    assert driver.sends(first) and not driver.sends(second) and driver.sends(other)
+    driver.end(first, Outcome.OK)
+    assert driver.sends(second)
+
+
+def test_key_waits_for_the_outcome_of_an_attempt_of_an_ended_request() -> None:
+    driver = ordered_driver()
+    first, second = driver.ask(key=5), driver.ask(key=5)
+    driver.step(api.ClientGone(first))
+    assert not driver.sends(second)
+    driver.end(first, Outcome.CANCELLED)
+    assert driver.sends(second)
+
+
+def test_key_rests_after_a_reset() -> None:
+    driver = ordered_driver(settle=1.0)
+    first, second = driver.ask(key=5, remaining=0.5), driver.ask(key=5)
+    driver.pass_time(100.5)
+    driver.end(first, Outcome.CANCELLED)
+    driver.pass_time(101.4)
+    assert not driver.sends(second)
+    driver.pass_time(101.7)
+    assert driver.sends(second)
+
+
+# --- 6: placement is kept ---
+
+
+def test_bound_class_waits_and_never_strays() -> None:
+    classes = one_class(zones_only=(1,), kinds_only=(0,))
+    driver = Driver(make_settings(classes=classes), engines=0)
+    driver.list([entry(i, zone=i % 2) for i in range(6)])
+    request = driver.ask()
+    assert driver.sends(request)[0].engine[3] % 2 == 1
+    driver.list([entry(i, EngineState.GONE, zone=i % 2) for i in (1, 3, 5)], ListMode.DELTA)
+    waiting = driver.ask(remaining=0.5)
+    driver.pass_time(100.5)
+    assert not driver.sends(waiting) and len(driver.answers(waiting)) == 1
+
+
+# --- 7: further attempts stay within a budget ---
+
+
+def test_further_attempts_stay_within_the_sliding_window() -> None:
+    guarantees = api.Guarantees(budget_free=3.0, budget_ratio=0.2, budget_window=10.0)
+    limits = api.Limits(cancel=True, max_attempts=3, max_retry_after=1.0)
+    driver = Driver(make_settings(guarantees=guarantees, limits=limits), engines=6)
+    requests = [driver.ask() for _ in range(20)]
+    for request in requests:
+        driver.end(request, Outcome.ERROR)
+    extra = len(driver.sends()) - len(requests)
+    assert 0 < extra <= 3 + 0.2 * len(requests)
+
+
+# --- settings that make no sense ---
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"classes": ()},
+        {"kinds": ()},
+        {"kinds": (api.KindSettings("kind", 0.0),)},
+        {"classes": (replace(LOOKUP, threads=0),)},
+        {"gateways": 0},
+    ],
+)
+def test_senseless_settings_raise(changes: dict) -> None:
+    with pytest.raises(ValueError):
+        Driver(make_settings(**changes))
