Silence counts for most engines where notes come, and one answer disproves it

Symptom: 458 time-outs in 5 s, no entry in any list. Cause as far as the signs go: a stall hides most engines from a gateway, and those that came back served 4% of the sends while answering at once, because eight trials had to succeed. Told from failing engines by the absence of errors and resets.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -140,7 +140,7 @@
         self.limit = math.inf  # own threads allowed; falls to the share under pressure
         self.last_cut = self.heard = -math.inf
         self.fails = 0.0  # decayed share of failures
-        self.ill = False
+        self.ill = self.silent = False
         self.broke_at = -math.inf  # last sign that the process may have restarted unseen
         self.reborn_at = -math.inf
         self.next_trial, self.trial_gap, self.probing = -math.inf, TRIAL_GAP, False
@@ -311,7 +311,7 @@
 
     def healthy(self, engine: Engine, job: Job) -> bool:
         """An ill engine gets one safe, short query at a time as a trial; distrusted verdicts bind nobody."""
-        if not engine.ill or self.distrust:
+        if not engine.ill or (self.distrust and not engine.silent):
             return True
         return (job.cls.effect is Effect.SAFE and not engine.out and not engine.probing
                 and self.now >= engine.next_trial
@@ -570,11 +570,12 @@
         elif outcome is Outcome.ERROR:  # a time-out says that time ran out, not that the engine failed
             engine.fails += FAIL_STEP * (1.0 - engine.fails)
         elif outcome is Outcome.OK:
-            engine.fails -= FAIL_STEP * engine.fails
+            # One answer disproves silence; a share of failures has to wear off.
+            engine.fails = 0.0 if engine.silent else engine.fails * (1.0 - FAIL_STEP)
         if not engine.ill and engine.fails > ILL:
             self.condemn(engine, "failing")
         elif engine.ill and outcome is Outcome.OK and engine.fails < WELL:
-            engine.ill, engine.trial_gap = False, TRIAL_GAP
+            engine.ill, engine.silent, engine.trial_gap = False, False, TRIAL_GAP
             self.log(f"engine {self.label(engine)} answers again, back in use")
         elif engine.ill and outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
             engine.trial_gap = min(engine.trial_gap * 2.0, TRIAL_GAP_MOST)
@@ -582,13 +583,13 @@
         self.trust()
 
     def condemn(self, engine: Engine, why: str) -> None:
-        engine.ill, engine.fails = True, 1.0
+        engine.ill, engine.fails, engine.silent = True, 1.0, why == "silent"
         engine.trial_gap, engine.next_trial = TRIAL_GAP, self.now + TRIAL_GAP
         self.log(f"engine {self.label(engine)} {why}, left alone but for trials")
 
     def trust(self) -> None:
         everyone = self.ready()
-        distrust = sum(e.ill for e in everyone) > ILL_SHARE * len(everyone)
+        distrust = sum(e.ill and not e.silent for e in everyone) > ILL_SHARE * len(everyone)
         if distrust != self.distrust:
             self.distrust = distrust
             self.log(
@@ -600,12 +601,14 @@
 
         Covers hangs, cut links and processes that died unseen. Without notes a long query is silent by
         nature, so one of the attempts must also be far over its own ExecTime. Harmful if a jam looks like
-        silence: hence no verdict when half of the busy engines are quiet.
+        silence: hence no verdict when half of the busy engines are quiet or, where even a jam sends notes,
+        when all are.
         """
         patience = max(SILENT_FLOOR, SILENT_NOTES * self.settings.note_period)
         busy = [e for e in self.engines.values() if e.out]
         quiet = [e for e in busy if self.now - max(e.heard, min(a.sent for a in e.out.values())) > patience]
-        if 2 * len(quiet) > max(len(busy), 2):
+        most = len(busy) - 1 if self.settings.note_period else max(len(busy), 2) // 2
+        if len(quiet) > most:
             return
         for engine in quiet:
             outs = list(engine.out.values())
