--- /dev/null
+++ b/tests/test_ordinary_path.py
@@ -0,0 +1,141 @@
+"""The design's ordinary path: deadlines, group EDF, refusals, hash order, spill; determinism; learning."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+from conftest import LOOKUP, REPORT, Driver, engine_id, make_settings, one_class
+
+from saffronlane import interface as api
+from saffronlane.interface import Outcome
+
+
+def crowded_driver(**changes: object) -> Driver:
+    """One engine that turned work away, so that its limit binds and queries are held."""
+    driver = Driver(make_settings(**changes), engines=1)
+    for _ in range(40):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
+    driver.gateway.engines[engine_id(0)].limit = 1.0
+    return driver
+
+
+def test_deadline_is_ten_times_the_exec_time_seeded_to_the_aim(driver: Driver) -> None:
+    request = driver.ask(cls=1)
+    assert driver.gateway.jobs[request].deadline == pytest.approx(100.0 + 10.0 * REPORT.aim)
+
+
+def test_batch_competes_before_release_and_smallest_in_group_leaves_first() -> None:
+    driver = crowded_driver(classes=(replace(LOOKUP, late_value=0.5),))
+    for _ in range(20):
+        driver.end(driver.ask(cost=0.1), Outcome.OK, work=0.1, elapsed=0.1)
+    costs = [0.12, 0.11, 0.10]  # deadlines within one group
+    events = [driver.arrival(cost=cost) for cost in costs]
+    driver.step(*events)
+    order = []
+    for _ in costs:
+        request = driver.sends()[-1].request
+        order.append(request)
+        driver.end(request, Outcome.OK, work=0.1, elapsed=0.1)
+    assert order == [events[2].request, events[1].request, events[0].request]
+
+
+def test_earlier_group_leaves_before_a_smaller_query_of_a_later_group() -> None:
+    driver = crowded_driver(classes=(replace(LOOKUP, late_value=0.5),))
+    blocker = driver.ask()
+    early = driver.ask()
+    driver.gateway.jobs[early].deadline = driver.now + 0.5
+    late = driver.ask(cost=0.01)
+    driver.gateway.jobs[late].deadline = driver.now + 5.0
+    driver.end(blocker, Outcome.OK, work=0.1, elapsed=0.1)
+    assert driver.sends()[-1].request == early
+
+
+def test_held_query_is_refused_with_a_retry_after_once_it_lapses() -> None:
+    driver = crowded_driver(classes=(replace(LOOKUP, late_value=0.5),))
+    driver.ask()
+    held = driver.ask()
+    driver.pass_time(driver.now + 0.5)
+    assert not driver.answers(held)
+    driver.pass_time(driver.now + 1.0)
+    (answer,) = driver.answers(held)
+    assert isinstance(answer, api.Refuse) and 0.0 < answer.retry_after <= 2.0
+    assert not driver.sends(held)
+
+
+def test_a_class_whose_late_answers_earn_nothing_is_limited_by_its_aim_while_engines_are_full() -> None:
+    kept, cut = (crowded_driver(classes=(replace(LOOKUP, aim=0.4, late_value=v),)) for v in (0.5, 0.0))
+    for driver, answers in ((kept, 0), (cut, 1)):
+        driver.ask()
+        held = driver.ask()
+        driver.pass_time(driver.now + 0.45)
+        assert len(driver.answers(held)) == answers
+
+
+def test_hash_order_is_the_same_at_every_gateway_and_differs_by_table_group() -> None:
+    first, second = (Driver(make_settings(position=p), engines=6, seed=p) for p in (0, 1))
+    orders = []
+    for tables in range(20):
+        order = [e.id for e in first.gateway.order(float(tables))]
+        assert order == [e.id for e in second.gateway.order(float(tables))]
+        orders.append(order[0])
+    assert len(set(orders)) > 2
+
+
+def test_a_table_group_stays_on_its_first_two_engines_and_spills_past_the_limit() -> None:
+    driver = Driver(make_settings(), engines=6)
+    home = [e.id for e in driver.gateway.order(3.0)[:2]]
+    few = [driver.sends(driver.ask(tables=3.0))[0].engine for _ in range(2)]
+    assert set(few) <= set(home)
+    many = [driver.sends(driver.ask(tables=3.0))[0].engine for _ in range(30)]
+    assert set(many) - set(home)
+
+
+def test_same_events_give_the_same_actions() -> None:
+    def run() -> list[api.Action]:
+        driver = Driver(make_settings(), engines=5)
+        for i in range(60):
+            request = driver.ask(cls=i % 2, tables=float(i % 7))
+            outcome = Outcome.OK if i % 3 else Outcome.ERROR
+            if driver.sends(request):
+                driver.end(request, outcome, work=0.2, elapsed=0.2)
+            driver.pass_time(driver.now + 0.03)
+        return driver.actions
+
+    assert run() == run()
+
+
+def test_a_ratio_learned_in_a_bad_spell_does_not_refuse_what_follows() -> None:
+    driver = Driver(make_settings(classes=(REPORT,)), engines=2)
+    for _ in range(60):
+        driver.end(driver.ask(cost=1.0), Outcome.OK, work=1.0, elapsed=0.3)
+    for _ in range(60):
+        driver.end(driver.ask(cost=1.0), Outcome.OK, work=1.0, elapsed=30.0)
+    request = driver.ask(cost=1.0)
+    assert driver.sends(request) and not driver.answers(request)
+
+
+def test_a_restarted_gateway_refuses_nothing_on_its_seeds() -> None:
+    driver = Driver(make_settings())
+    request = driver.ask(remaining=0.5)  # less than the aim that seeds ExecTime
+    assert driver.sends(request)
+
+
+@pytest.mark.parametrize("value", [math.nan, math.inf, -5.0, 0.0, 1e300])
+def test_absurd_reports_neither_raise_nor_poison(value: float) -> None:
+    driver = Driver(make_settings(note_period=1.0, classes=one_class(late_value=0.5)))
+    driver.list([api.EngineEntry(engine_id(i), api.EngineState.READY, started=value) for i in range(4)])
+    for _ in range(30):
+        request = driver.ask(cost=value, memory_mb=value, tables=0.0)
+        if driver.sends(request):
+            engine = driver.sends(request)[0].engine
+            driver.step(api.Note(request, 0, engine, api.NoteKind.PROGRESS, value))
+            driver.end(request, Outcome.OK, work=value, memory_mb=value, elapsed=value)
+    driver.ask(remaining=value)
+    for _ in range(60):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
+    request = driver.ask()
+    assert driver.sends(request) and not driver.answers(request)
+    assert all(math.isfinite(a.timeout) and a.timeout > 0.0 for a in driver.sends())
+    assert all(math.isfinite(a.at) for a in driver.of_kind(api.SetTimer))
