--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -32,7 +32,6 @@
 RELAXED = 1.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
 SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
 SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
-SLOW = 1.5  # an engine this x as crowded as the mean counts as smaller; less is noise
 # --- guards ---
 COLD_MARGIN = 0.7  # use only this share of a cold engine's budget: a query's work is but estimated
 END_MARGIN = 0.03  # answer this long before the client's time ends; covers a few ticks of delay
@@ -215,7 +214,6 @@
         self.taken: deque[float] = deque()  # rule 7: arrivals in the window
         self.extras: deque[float] = deque()  # rule 7: further attempts in the window
         self.distrust = False
-        self.mean_crowd = 1.0  # of ready engines
         self.next_lapse = -math.inf
         self.clock_set = self.asked = False
         self.next_token = 1
@@ -322,15 +320,10 @@
     def share(self, engine: Engine) -> float:
         return engine.cores * SHARE_THREADS_PER_CORE / self.settings.gateways
 
-    def load(self, engine: Engine, job: Job) -> float:
-        """Own threads per core with this query; a cold or slow engine counts with the cores' worth it has.
-
-        Slow is against the fleet's mean: when everything is slow, nothing is. Covers slow machines, greedy
-        neighbours and lost caches; harmful if the mean is made by one class on few engines, hence SLOW.
-        """
+    def load(self, engine: Engine) -> float:
+        """Own threads per core, a cold engine counted with the cores' worth it has."""
         warm = 1.0 - self.coldness(engine) * (1.0 - self.rules.cold_share)
-        slow = engine.crowd / self.mean_crowd
-        return (engine.threads + job.cls.threads) / (engine.cores * warm) * (slow if slow > SLOW else 1.0)
+        return engine.threads / (engine.cores * warm)
 
     def fits(self, engine: Engine, job: Job) -> bool:
         """Under its limit; a query on several threads must fit whole, so that short ones keep a lane."""
@@ -351,10 +344,10 @@
         everyone = self.ready()
         mean = sum(e.threads for e in everyone) / sum(e.cores for e in everyone)
         for first in range(max(1, len(free) - 1)):
-            best = min(free[first : first + 2], key=lambda e: self.load(e, job))
-            if self.load(best, job) <= SPILL * mean + 2.0 * job.cls.threads / best.cores:
+            best = min(free[first : first + 2], key=self.load)
+            if self.load(best) <= SPILL * mean + job.cls.threads / best.cores:
                 return best
-        return min(free, key=lambda e: self.load(e, job))
+        return min(free, key=self.load)
 
     # --- release and refusal ---
 
@@ -556,8 +549,6 @@
     def feel(self, engine: Engine, crowd: float) -> None:
         """Pressure: the engine's limit falls towards the share while answers are late, and grows after."""
         engine.crowd += FAIL_STEP * (min(crowd, 10.0) - engine.crowd)
-        everyone = self.ready()
-        self.mean_crowd = max(1.0, sum(e.crowd for e in everyone) / max(1, len(everyone)))
         share = self.share(engine)
         if engine.crowd > PRESSED and self.now >= engine.last_cut + SHRINK_GAP:
             engine.limit = max(share, min(engine.limit, engine.threads + 1.0) * SHRINK)
