Tests of the wire and of random legal events; a moot attempt gives back its own budget entry

Found while writing the property test: a moot attempt took the newest entry out of the budget's window instead of its own, which undercounts later.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -524,8 +524,8 @@
             and job.key
         ):
             self.key_rest[job.key] = self.now + self.rules.order_settle
-        if event.outcome is Outcome.MOOT and attempt.n and self.extras:
-            self.extras.pop()
+        if event.outcome is Outcome.MOOT and attempt.n and attempt.sent in self.extras:
+            self.extras.remove(attempt.sent)
         self.judge(engine, event.outcome, attempt)
         if event.outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,234 @@
+"""The wire: frames in and out against the documented layouts, bad input, kill and rebirth."""
+
+from __future__ import annotations
+
+import io
+import struct
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from saffronlane import benchlink
+from saffronlane import interface as api
+
+ROOT = Path(__file__).parent.parent
+PARAMS = """domainType=queries
+unknown.setting=whatever
+fleetSize=2
+kinds=a,b
+zones=x,y
+extra.kindCores=8,4
+extra.parallelism=1,4
+extra.notePeriod=1.0
+guarantees.lookBack=10.0
+guarantees.extraFree=3
+limits.cancel=true
+limits.sendCap=3
+services.count=2
+services.0.name=short
+services.0.aim=1.0
+services.0.deadline=5.0
+services.1.name=long
+services.1.aim=2.0
+services.1.deadline=20.0
+services.1.effect=dedup
+services.1.group=zone
+services.1.zonesOpen=y
+services.1.sequential=true
+"""
+NODE = bytes.fromhex("0a124a071f93")
+
+
+def record(layout: str, *values: object) -> bytes:
+    return struct.pack(layout, *values).ljust(56, b"\0")
+
+
+def batch(now: float, records: list[bytes], tail: bytes = b"") -> bytes:
+    body = b"".join(records) + tail
+    return struct.pack(">IId", len(body) + 12, len(records), now) + body
+
+
+def birth(instance: int = 3, params: str = PARAMS, mode: int = 3) -> tuple[list[bytes], bytes]:
+    """The records that start an instance with one ready engine, and their tail."""
+    entry = struct.pack(">dBHH6sfB", 0.0, 0, 0, 0, NODE, 1.0, 1)
+    text = params.encode()
+    return [
+        record(">HHII", 1060, 0, 0, 1),
+        record(">HIQII", 1100, instance, 99, len(entry), len(text)),
+        record(">HIBIH", 1040, instance, mode, 41, 0),
+    ], entry + text
+
+
+def ask(instance: int = 3, corr: int = 0xCD1FC5D3A91C4) -> bytes:
+    fields = (0, 0, 0, 4.0, 0.1, 384.0, 11.0, 1)
+    return record(">HIQHIQddffB", 1090, instance, corr, *fields)
+
+
+def talk(data: bytes) -> list[tuple[list[bytes], bytes]]:
+    """Feed the adapter; returns the 32-byte records and the tail of each reply."""
+    sink = io.BytesIO()
+    benchlink.serve(io.BytesIO(data), sink)
+    out, replies = sink.getvalue(), []
+    while out:
+        count, length = struct.unpack_from(">II", out)
+        body, out = out[8 : 8 + length], out[8 + length :]
+        replies.append(([body[i * 32 : i * 32 + 32] for i in range(count)], body[count * 32 :]))
+    return replies
+
+
+def codes(records: list[bytes]) -> list[int]:
+    return [struct.unpack_from(">H", item)[0] for item in records]
+
+
+def test_empty_batch_gets_the_documented_reply() -> None:
+    sink = io.BytesIO()
+    benchlink.serve(io.BytesIO(bytes.fromhex("0000000c000000004020d3126e978d50")), sink)
+    assert sink.getvalue() == bytes(8)
+
+
+def test_request_is_delivered_and_its_fields_stand_where_documented() -> None:
+    records, tail = birth()
+    (reply,) = talk(batch(8.0, [*records, ask()], tail))
+    (deliver,) = [item for item in reply[0] if item[:2] == b"\x04\x24"]
+    assert deliver[:14].hex() == "042400000003000cd1fc5d3a91c4"
+    (timeout,) = struct.unpack_from(">d", deliver, 14)
+    assert 0.0 < timeout < 4.0
+    assert deliver[22:28] == NODE and deliver[28:] == bytes(4)
+
+
+def test_documented_event_bytes_are_read() -> None:
+    hexes = {
+        "0406 00000003 000cd1fc5d3a91c4 0a124a07 1f93 3f82f1a9fbe76c8b 00": api.StreamStarted(
+            0xCD1FC5D3A91C4, 0, NODE, struct.unpack(">d", bytes.fromhex("3f82f1a9fbe76c8b"))[0]
+        ),
+        "041a 00000003 000cd1fc5d3a91c4 00 0a124a07 1f93 01 3f000000": api.Note(
+            0xCD1FC5D3A91C4, 0, NODE, api.NoteKind.PROGRESS, 0.5
+        ),
+        "0456 00000003 000cd1fc5d3a91c4": api.ClientGone(0xCD1FC5D3A91C4),
+        "042e 00000003 000000000000004d": api.TimerFired(77),
+    }
+    for text, expected in hexes.items():
+        data = bytes.fromhex(text.replace(" ", "")).ljust(56, b"\0")
+        (code,) = struct.unpack_from(">H", data)
+        assert benchlink.EVENT_READERS[code](data, b"") == (3, expected)
+
+
+def test_documented_outcome_bytes_are_read() -> None:
+    text = (
+        "03fc 00000003 000cd1fc5d3a91c4 00 0a124a07 1f93 0001 3f92f1a9fbe76c8b 01 00011060 04 40e00000"
+        " 40400000 3ecccccd 3fa00000"
+    )
+    data = bytes.fromhex(text.replace(" ", "")).ljust(56, b"\0")
+    instance, event = benchlink.EVENT_READERS[1020](data, b"")
+    assert instance == 3 and event.outcome is api.Outcome.OK and event.final
+    assert event.work == pytest.approx(0.017) and event.memory_mb == 96 * 4.0
+    assert event.report[:2] == (7.0, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("action", "text"),
+    [
+        (api.SetTimer(0x4D, 8.912), "0406 00000003 000000000000004d 4021d2f1a9fbe76d"),
+        (api.Cancel(0xCD1FC5D3A91C4, 0), "0460 00000003 000cd1fc5d3a91c4 00"),
+        (api.Refuse(0xF346C0E6F2B19, 0.25), "03f2 00000003 000f346c0e6f2b19 3fd0000000000000"),
+        (api.Fail(0xF346C0E6F2B19), "041a 00000003 000f346c0e6f2b19"),
+        (api.SetTerms(0xCD1FC5D3A91C4, 640.0, 2), "0438 00000003 000cd1fc5d3a91c4 44200000 02"),
+        (api.Probe(NODE), "042e 00000003 0a124a071f93"),
+        (api.CloseIdle(NODE), "0410 00000003 0a124a071f93"),
+        (api.Subscribe(True), "0442 00000003 01"),
+        (api.FetchList(), "0456 00000003"),
+        (api.Tell(None, b"hi 7"), "03e8 00000003 ffffffff 00000000 00000004"),
+        (api.Log("two servers known"), "044c 00000003 00000000 00000011"),
+    ],
+)
+def test_documented_action_bytes_are_written(action: api.Action, text: str) -> None:
+    writer = benchlink.ReplyWriter()
+    writer.add(3, action)
+    frame = writer.frame()
+    assert frame[8:40] == bytes.fromhex(text.replace(" ", "")).ljust(32, b"\0")
+
+
+def test_settings_are_read_and_unknown_ones_ignored() -> None:
+    settings = benchlink.read_settings(PARAMS)
+    assert [kind.cores for kind in settings.kinds] == [8.0, 4.0]
+    assert settings.classes[1].effect is api.Effect.KEYED and settings.classes[1].group is api.Group.ZONE
+    assert settings.classes[1].zones_only == (1,) and settings.classes[0].zones_only is None
+    assert settings.classes[1].ordered and settings.classes[1].threads == 4
+    assert settings.guarantees.budget_free == 3.0
+
+
+def test_kill_and_rebirth_in_one_batch_forgets_the_requests() -> None:
+    records, tail = birth()
+    first = batch(8.0, [*records, ask()], tail)
+    down = record(">HI", 1010, 3)
+    late = record(">HIQ", 1110, 3, 0xCD1FC5D3A91C4)
+    replies = talk(first + batch(9.0, [down, *records, late], tail) + batch(20.0, [ask(corr=7)]))
+    assert 1010 not in codes(replies[1][0]) and 1060 not in codes(replies[1][0])
+    assert 1060 in codes(replies[2][0])
+
+
+def test_a_killed_instance_is_not_acted_for() -> None:
+    records, tail = birth()
+    (reply,) = talk(batch(8.0, [*records, ask(), record(">HI", 1010, 3)], tail))
+    assert reply == ([], b"")
+
+
+def test_list_numbers_are_resolved_in_the_order_of_events() -> None:
+    records, tail = birth(3)
+    gone = struct.pack(">dBHH6sfB", 0.0, 0, 0, 0, NODE, 1.0, 0)
+    overwrite = record(">HHII", 1060, 0, len(tail), 1)
+    (reply,) = talk(batch(8.0, [*records, overwrite, ask()], tail + gone))
+    assert 1060 in codes(reply[0])
+
+
+def test_exception_in_the_module_becomes_a_panic(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(self: object, now: float, events: list) -> list:
+        raise IndexError("index out of range")
+
+    monkeypatch.setattr(benchlink.Gateway, "step", broken)
+    records, tail = birth()
+    ((reply, text),) = talk(batch(8.0, records, tail))
+    assert codes(reply) == [1020] and b"index out of range" in text
+
+
+def run_adapter(data: bytes) -> subprocess.CompletedProcess:
+    command = [sys.executable, "-m", "saffronlane.benchlink"]
+    return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, timeout=30, check=False)
+
+
+def missing(setting: str) -> bytes:
+    lines = [line for line in PARAMS.splitlines() if not line.startswith(setting + "=")]
+    records, tail = birth(params="\n".join(lines))
+    return batch(1.0, records, tail)
+
+
+@pytest.mark.parametrize(
+    ("data", "named"),
+    [
+        (b"\0\0\0", "batch header"),
+        (batch(1.0, [])[:-2], "batch header"),
+        (struct.pack(">IId", 100, 1, 1.0) + bytes(10), "inside a batch"),
+        (struct.pack(">IId", 12, 4, 1.0), "too short"),
+        (struct.pack(">I", 3) + bytes(12), "too short"),
+        (batch(1.0, [record(">HI", 4242, 3)]), "4242"),
+        (batch(1.0, [record(">HIQ", 1070, 3, 1)]), "instance 3"),
+        (batch(1.0, [record(">HHII", 1060, 0, 5, 9)]), "list"),
+        (missing("services.0.aim"), "services.0.aim"),
+        (missing("extra.kindCores"), "extra.kindCores"),
+        (missing("fleetSize"), "fleetSize"),
+        (batch(1.0, *birth(params=PARAMS.replace("fleetSize=2", "fleetSize=0"))), "settings make no sense"),
+        (batch(1.0, *birth(params=PARAMS.replace("aim=1.0", "aim=soon"))), "services.0.aim"),
+    ],
+)
+def test_bad_input_ends_with_one_plain_line(data: bytes, named: str) -> None:
+    result = run_adapter(data)
+    assert result.returncode != 0
+    assert len(result.stderr.decode().splitlines()) == 1 and named in result.stderr.decode()
+
+
+def test_end_of_input_is_a_clean_exit() -> None:
+    records, tail = birth()
+    result = run_adapter(batch(1.0, [*records, ask()], tail))
+    assert result.returncode == 0 and result.stderr == b""
--- /dev/null
+++ b/tests/test_random_events.py
@@ -0,0 +1,210 @@
+"""Random legal event sequences; the rules are asserted on every action."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from conftest import Driver, engine_id, make_settings
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from saffronlane import interface as api
+from saffronlane.interface import Effect, EngineState, Group, ListMode, Outcome
+
+NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.MOOT)
+CLASSES = (
+    api.ClassSettings("safe", aim=0.5, deadline=3.0, threads=1),
+    api.ClassSettings("keyed", 1.0, 6.0, threads=2, effect=Effect.KEYED, group=Group.ZONE, key_ttl=2.0),
+    api.ClassSettings("unsafe", 1.0, 4.0, threads=1, effect=Effect.UNSAFE, zones_only=(0,)),
+    api.ClassSettings("ordered", 1.0, 5.0, late_value=0.5, threads=2, ordered=True),
+)
+BUDGET = api.Guarantees(
+    answer_slack=0.02,
+    order_settle=0.5,
+    budget_free=3.0,
+    budget_ratio=0.2,
+    budget_window=4.0,
+    fall_multiple=3.0,
+    fall_window=1.0,
+    cold_share=0.3,
+    cold_time=8.0,
+)
+
+
+class Checker:
+    """Plays a random fleet against one Gateway and asserts the seven rules as it goes."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        limits = api.Limits(cancel=True, max_attempts=3, max_retry_after=1.0, probing=True)
+        plain = make_settings(classes=CLASSES, guarantees=BUDGET, limits=limits, note_period=1.0)
+        self.driver = Driver(plain, engines=0)
+        self.states = {engine_id(i): EngineState.READY for i in range(6)}
+        self.driver.list([self.entry(e) for e in self.states])
+        self.open: dict[int, api.Arrival] = {}
+        self.limit: dict[int, float] = {}
+        self.outcomes: dict[int, list[Outcome | None]] = {}
+        self.engines: dict[int, list[tuple[bytes, float]]] = {}
+        self.taken: list[float] = []
+        self.extras: list[float] = []
+        self.order: dict[int, list[int]] = {}
+        self.rest: dict[int, float] = {}
+
+    def entry(self, engine: bytes) -> api.EngineEntry:
+        return api.EngineEntry(engine, self.states[engine], zone=engine[3] % 2)
+
+    def feed(self, event: api.Event) -> None:
+        self.check(self.driver.step(event))
+
+    def check(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.check_send(action)
+            elif isinstance(action, (api.Refuse, api.Fail)):
+                self.check_answer(action)
+
+    def check_send(self, send: api.Send) -> None:
+        now, request = self.driver.now, send.request
+        assert request in self.open  # 1: nothing goes out after the end
+        arrival, tries = self.open[request], self.outcomes[request]
+        cls = CLASSES[arrival.cls]
+        assert now + send.timeout <= self.limit[request]
+        assert None not in tries  # 2: one attempt at a time
+        maybe = [i for i, outcome in enumerate(tries) if outcome not in NEVER_RAN]
+        if cls.effect is Effect.UNSAFE:
+            assert not maybe
+        if cls.effect is Effect.KEYED and maybe:
+            first, sent = self.engines[request][maybe[0]]
+            assert first[3] % 2 == send.engine[3] % 2 and now <= sent + cls.key_ttl
+        assert self.states[send.engine] is EngineState.READY  # 3
+        if cls.zones_only:
+            assert send.engine[3] % 2 in cls.zones_only  # 6
+        if cls.ordered:
+            assert self.order[arrival.key][0] == request  # 5
+            assert now >= self.rest.get(arrival.key, 0.0)
+        if tries:  # 7
+            self.extras.append(now)
+            extras = sum(at > now - BUDGET.budget_window for at in self.extras)
+            taken = sum(at > now - BUDGET.budget_window for at in self.taken)
+            assert extras <= BUDGET.budget_free + BUDGET.budget_ratio * taken
+        tries.append(None)
+        self.engines[request].append((send.engine, now))
+
+    def check_answer(self, answer: api.Refuse | api.Fail) -> None:
+        request = answer.request
+        assert request in self.open and self.driver.now <= self.limit[request]
+        cls, tries = CLASSES[self.open.pop(request).cls], self.outcomes[request]
+        if isinstance(answer, api.Refuse) and cls.effect is not Effect.SAFE:
+            assert all(outcome in NEVER_RAN for outcome in tries)
+        self.settle(request)
+
+    def settle(self, request: int) -> None:
+        """A key moves on when its head is over and has no open outcome."""
+        for queue in self.order.values():
+            if request in queue and request not in self.open and None not in self.outcomes[request]:
+                queue.remove(request)
+
+    def arrive(self) -> None:
+        cls = self.random.randrange(len(CLASSES))
+        key = self.random.randrange(1, 4) if CLASSES[cls].ordered else 0
+        remaining = self.random.uniform(0.1, CLASSES[cls].deadline)
+        event = self.driver.arrival(cls, remaining, key=key, tables=float(self.random.randrange(5)))
+        self.open[event.request], self.limit[event.request] = event, self.driver.now + remaining
+        self.outcomes[event.request], self.engines[event.request] = [], []
+        self.taken.append(self.driver.now)
+        if key:
+            self.order.setdefault(key, []).append(event.request)
+        self.feed(event)
+
+    def report(self) -> None:
+        out = [(r, n) for r, tries in self.outcomes.items() for n, o in enumerate(tries) if o is None]
+        if not out:
+            return
+        request, n = self.random.choice(out)
+        outcome = self.random.choice(list(Outcome))
+        final = outcome is Outcome.OK or request not in self.open
+        self.outcomes[request][n] = outcome
+        event = self.open.get(request)
+        if final:
+            self.open.pop(request, None)
+        key = next((k for k, queue in self.order.items() if request in queue), 0)
+        if key and outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+            self.rest[key] = self.driver.now + BUDGET.order_settle
+        self.settle(request)
+        if outcome is Outcome.MOOT and n:
+            self.extras.remove(self.engines[request][n][1])
+        engine, sent = self.engines[request][n]
+        elapsed = self.driver.now - sent
+        work = self.random.choice([0.0, 0.1, 5.0])
+        assert event is None or request == event.request
+        self.feed(api.AttemptEnded(request, n, engine, outcome, elapsed, final, work))
+
+    def change_list(self) -> None:
+        engine = self.random.choice(list(self.states))
+        self.states[engine] = self.random.choice(list(EngineState))
+        self.feed(api.ListUpdate(ListMode.DELTA, 1, (self.entry(engine),)))
+
+    def disturb(self) -> None:
+        """Late, unknown and repeated events."""
+        request, engine = self.random.randrange(1, 200), self.random.choice(list(self.states))
+        if request in self.outcomes and None in self.outcomes[request]:
+            return
+        event = self.random.choice(
+            [
+                api.AttemptEnded(request, 0, engine, Outcome.OK, 1.0, True),
+                api.Note(request, 1, engine, api.NoteKind.PROGRESS, 0.01),
+                api.TimerFired(10**9),
+                api.ProbeResult(engine, Outcome.TIMEOUT, 0.2),
+                api.ClientGone(10**9),
+            ]
+        )
+        self.feed(event)
+
+    def pass_time(self) -> None:
+        until = self.driver.now + self.random.choice([0.0, 0.01, 0.1, 0.7])
+        while self.driver.timers and min(self.driver.timers)[0] <= until:
+            at, token = min(self.driver.timers)
+            self.driver.timers.remove((at, token))
+            self.driver.now = max(at, self.driver.now)
+            self.feed(api.TimerFired(token))
+        self.driver.now = max(until, self.driver.now)
+
+    def play(self, steps: int) -> None:
+        moves = [
+            self.arrive,
+            self.arrive,
+            self.report,
+            self.report,
+            self.pass_time,
+            self.change_list,
+            self.disturb,
+        ]
+        for _ in range(steps):
+            self.random.choice(moves)()
+        self.driver.now += 0.0
+        for _ in range(20):
+            self.pass_time()
+            self.driver.now += 0.0
+        while self.open:
+            at, token = min(self.driver.timers)
+            assert at <= max(self.limit.values()), "a request was left without an answer"
+            self.driver.timers.remove((at, token))
+            self.driver.now = max(at, self.driver.now)
+            self.feed(api.TimerFired(token))
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_random_legal_events_keep_the_rules(seed: int) -> None:
+    Checker(seed).play(250)
+
+
+@pytest.mark.parametrize("mode", [ListMode.FULL, ListMode.CACHED])
+def test_list_that_shrinks_to_nothing_and_returns(mode: ListMode) -> None:
+    checker = Checker(1)
+    checker.driver.list([], mode)
+    request = checker.driver.ask()
+    assert not checker.driver.sends(request)
+    checker.driver.list([checker.entry(engine) for engine in checker.states], mode)
+    assert checker.driver.sends(request)
