--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -337,8 +337,7 @@
         usable = [e for e in usable if e.id not in job.avoid] or usable
         if job.cls.is_load or job.cls.waits_for_loads:
             # A load holds its group on its engine; a second one there would stand still and keep its memory.
-            # Held until an engine is free of them: that costs it nothing, and others get the threads.
-            usable = [e for e in usable if not e.loading(job.tables)]
+            usable = [e for e in usable if not e.loading(job.tables)] or usable
         free = [e for e in usable if self.fits(e, job) and self.cold_room(e, job)]
         if not free:
             return None
@@ -407,8 +406,7 @@
             if engine is None:
                 # No room for this one is no room for the others of its class that may go anywhere; trying
                 # each of a long queue would cost far more than a gateway's processor.
-                if not (job.attempts or job.cls.is_load or job.cls.waits_for_loads):
-                    waiting = [j for j in waiting if j.index != job.index or j.attempts]
+                waiting = [j for j in waiting if j.index != job.index or j.attempts or job.attempts]
             elif self.extra_allowed(job):
                 self.send(job, engine)
 
