Own grants stay within this gateway's part of an engine's memory

Symptom: service falls within seconds at a load that the fleet could carry; loads take 10 s for 2 s of work, nothing in any list. Cause: grants past an engine's memory are cut short there, the query spills and does its work up to three times, which keeps memory and disks busy for the next.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -22,6 +22,7 @@
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.0  # share under full pressure, over the gateway count; below any knee
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
+MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
 MEMORY_ANSWERS = 40.0  # answers that a mean remembers: a handful of seconds of one class's traffic
@@ -123,8 +124,8 @@
 class Engine:
     """One engine as this gateway knows it: the list's word and what its own traffic showed."""
 
-    def __init__(self, entry: api.EngineEntry, cores: float) -> None:
-        self.id, self.cores = entry.engine, cores
+    def __init__(self, entry: api.EngineEntry, kind: api.KindSettings) -> None:
+        self.id, self.cores, self.memory_size = entry.engine, kind.cores, kind.memory_mb
         self.threads = self.memory = 0.0  # own work that is out
         self.out: dict[tuple[int, int], Attempt] = {}
         self.sent: deque[tuple[float, float]] = deque()  # (time, work) sent in the last fall window
@@ -258,7 +259,7 @@
         engine = self.engines.get(entry.engine)
         if engine is None:
             kind = self.settings.kinds[min(entry.kind, len(self.settings.kinds) - 1)]
-            self.engines[entry.engine] = Engine(entry, kind.cores)
+            self.engines[entry.engine] = Engine(entry, kind)
             return
         restarted = entry.started != engine.started and entry.started > 0.0
         back = engine.state is EngineState.GONE and entry.state is EngineState.READY
@@ -327,9 +328,14 @@
 
     def fits(self, engine: Engine, job: Job) -> bool:
         """Under its limit; a query on several threads must fit whole, so that short ones keep a lane."""
-        return engine.threads < engine.limit and (
-            not engine.threads or engine.threads + job.cls.threads <= engine.limit + 1.0
-        )
+        if not engine.threads:
+            return True
+        if self.settings.grants_heeded and engine.memory_size:
+            # Past the memory a query spills and does its work several times over: waiting is cheaper.
+            room = engine.memory_size * MEMORY_SHARE / self.settings.gateways - engine.memory
+            if self.terms(job)[0] > room:
+                return False
+        return engine.threads < engine.limit and engine.threads + job.cls.threads <= engine.limit + 1.0
 
     def place(self, job: Job) -> Engine | None:
         """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
@@ -416,6 +422,8 @@
         grant = 0.0
         if settings.grants_heeded:
             grant = job.memory * known.need_ratio if job.memory else known.need * 1.1
+            largest = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
+            grant = min(grant, largest) if largest else grant
         if not settings.priorities_heeded:
             return grant, 1
         total = sum(k.count * k.work for k in self.learned)
