Keep memory in mind also where the engine alone grants it

Cause: queries beyond an engine's memory wait in its line, hold our threads there and run out of time.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -330,7 +330,7 @@
         """Under its limit; a query on several threads must fit whole, so that short ones keep a lane."""
         if not engine.threads:
             return True
-        if self.settings.grants_heeded and engine.memory_size:
+        if engine.memory_size:
             # Past the memory a query spills and does its work several times over: waiting is cheaper.
             room = engine.memory_size * MEMORY_SHARE / self.settings.gateways - engine.memory
             if self.terms(job)[0] > room:
@@ -419,11 +419,9 @@
     def terms(self, job: Job) -> tuple[float, int]:
         """Memory from learned need; priority by worth per second of work against the usual mix."""
         known, settings = self.learned[job.index], self.settings
-        grant = 0.0
-        if settings.grants_heeded:
-            grant = job.memory * known.need_ratio if job.memory else known.need * 1.1
-            largest = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
-            grant = min(grant, largest) if largest else grant
+        grant = job.memory * known.need_ratio if job.memory else known.need * 1.1
+        largest = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
+        grant = min(grant, largest) if largest else grant
         if not settings.priorities_heeded:
             return grant, 1
         total = sum(k.count * k.work for k in self.learned)
@@ -437,7 +435,7 @@
         now, known = self.now, self.learned[job.index]
         grant, priority = self.terms(job)
         if self.settings.grants_heeded or self.settings.priorities_heeded:
-            self.actions.append(api.SetTerms(job.id, grant, priority))
+            self.actions.append(api.SetTerms(job.id, grant if self.settings.grants_heeded else 0.0, priority))
         attempt = Attempt(job, len(job.attempts), engine, now, min(job.cls.threads, engine.cores), grant)
         if job.attempts:
             self.extras.append(now)
