Give up runs that cannot end in time or that keep others out

Symptom: from second 10 on look-ups and reports late on all engines alike, reports not answered, nothing in any list. Cause: a few queries of many times the usual work (or with a second bad plan) fill the threads until their clients leave. Told from slow engines by look-ups being equally late on all, from a jam by the progress of the ones still running. Change: one rerun as before; after it such a run ends, with a retry-after, when it cannot end in the client's time or while others are held for want of room.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -50,6 +50,7 @@
 SILENT_FLOOR = 2.0  # the same in seconds where no notes come
 # --- bad plans ---
 BEHIND = 4.0  # cancel when the remainder would take this x a fresh run: far outside the usual scatter
+HOPELESS = 0.5  # progress is rough: give up only if the end lies this share of the time left beyond the limit
 RERUNS = 1  # a second slow run means that the query itself is long, not its plan
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -215,9 +216,15 @@
         self.taken: deque[float] = deque()  # rule 7: arrivals in the window
         self.extras: deque[float] = deque()  # rule 7: further attempts in the window
         self.distrust = False
+        self.blocked = False  # the last release left a query for want of room
         self.next_lapse = -math.inf
         self.clock_set = self.asked = False
         self.next_token = 1
+        self.handlers = {
+            api.ListUpdate: self.on_list, api.Arrival: self.on_arrival, api.AttemptEnded: self.on_ended,
+            api.Note: self.on_note, api.TimerFired: self.on_timer, api.ProbeResult: self.on_probe,
+            api.ClientGone: self.on_gone, api.StreamStarted: self.on_stream,
+        }  # fmt: skip
         self.timers: dict[int, Job | None] = {}  # None: housekeeping
 
     # --- small helpers ---
@@ -230,9 +237,6 @@
     def log(self, text: str) -> None:
         self.actions.append(api.Log(text))
 
-    def label(self, engine: Engine) -> str:
-        return engine.id.hex()
-
     def ready(self) -> list[Engine]:
         return [e for e in self.engines.values() if e.state is EngineState.READY]
 
@@ -388,7 +392,7 @@
         known = self.learned[job.index]
         needed = known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0
         limit = min(job.deadline, job.limit - END_MARGIN)
-        if job.cls.late_value < LATE_WORTH:
+        if self.blocked and job.cls.late_value < LATE_WORTH:
             # Exception, while engines are at their limits (nothing is held otherwise): a class whose late
             # answers earn next to nothing is limited by its aim, or a queue would make every answer late.
             limit = min(limit, job.arrival + known.aim_time(job.cost))
@@ -400,6 +404,7 @@
             self.next_lapse = self.now + LAPSE_GAP
             for job in [j for j in self.held if self.expired(j) or self.lapsed(j)]:
                 self.finish(job)
+        self.blocked = False
         waiting = [j for j in self.held if self.turn(j) and self.extra_allowed(j)]
         waiting.sort(key=lambda j: (j.deadline, j.id))
         while waiting:
@@ -410,6 +415,7 @@
             waiting.remove(job)
             engine = self.place(job)
             if engine is None:
+                self.blocked = True
                 # No room for this one is no room for the others of its class that may go anywhere; trying
                 # each of a long queue would cost far more than a gateway's processor.
                 waiting = [j for j in waiting if j.index != job.index or j.attempts or job.attempts]
@@ -582,7 +588,7 @@
             self.condemn(engine, "failing")
         elif engine.ill and outcome is Outcome.OK and engine.fails < WELL:
             engine.ill, engine.silent, engine.trial_gap = False, False, TRIAL_GAP
-            self.log(f"engine {self.label(engine)} answers again, back in use")
+            self.log(f"engine {engine.id.hex()} answers again, back in use")
         elif engine.ill and outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
             engine.trial_gap = min(engine.trial_gap * 2.0, TRIAL_GAP_MOST)
             engine.next_trial = self.now + engine.trial_gap
@@ -591,7 +597,7 @@
     def condemn(self, engine: Engine, why: str) -> None:
         engine.ill, engine.fails, engine.silent = True, 1.0, why == "silent"
         engine.trial_gap, engine.next_trial = TRIAL_GAP, self.now + TRIAL_GAP
-        self.log(f"engine {self.label(engine)} {why}, left alone but for trials")
+        self.log(f"engine {engine.id.hex()} {why}, left alone but for trials")
 
     def trust(self) -> None:
         everyone = self.ready()
@@ -652,16 +658,22 @@
     def check_plan(self, attempt: Attempt, done: float) -> None:
         """Bad plan: progress far behind the estimate, so that a fresh run is expected to end much sooner.
 
-        Also catches a query stuck on one slow engine. Harmful if the query itself is long: hence RERUNS.
+        Also catches a query stuck on one slow engine. If the query itself is long (RERUNS), it is given up
+        when it cannot end in time, or while others wait for room: its worth for its work is the least there
+        is. Harmful where long queries matter more than their worth says.
         """
         job, spent = attempt.job, self.now - attempt.sent
-        if job.reruns >= RERUNS or not self.may_repeat(job) or attempt.cancelled:
-            return
         fresh = self.exec_time(job)
         remainder = spent * (1.0 - done) / max(done, 1e-3)
-        if remainder > BEHIND * fresh and self.now + fresh < job.limit:
+        if attempt.cancelled or job.ended or job.streaming or remainder <= BEHIND * fresh:
+            return
+        if job.reruns < RERUNS and self.may_repeat(job) and self.now + fresh < job.limit:
             job.reruns += 1
             self.cancel(attempt)
+        elif job.cls.effect is Effect.SAFE and (
+            self.blocked or self.now + remainder > job.limit + HOPELESS * (job.limit - self.now)
+        ):
+            self.finish(job)
 
     # --- the batch ---
 
@@ -694,25 +706,13 @@
             engine.next_trial = self.now
             self.judge(engine, event.outcome)
 
-    def handle(self, event: api.Event) -> None:
-        if isinstance(event, api.Arrival):
-            self.on_arrival(event)
-        elif isinstance(event, api.AttemptEnded):
-            self.on_ended(event)
-        elif isinstance(event, api.TimerFired):
-            self.on_timer(event)
-        elif isinstance(event, api.Note):
-            self.on_note(event)
-        elif isinstance(event, api.ListUpdate):
-            self.on_list(event)
-        elif isinstance(event, api.ClientGone):
-            if event.request in self.jobs:
-                self.finish(self.jobs[event.request], answer=False)
-        elif isinstance(event, api.StreamStarted):
-            if event.request in self.jobs:
-                self.jobs[event.request].streaming = True
-        elif isinstance(event, api.ProbeResult):
-            self.on_probe(event)
+    def on_gone(self, event: api.ClientGone) -> None:
+        if event.request in self.jobs:
+            self.finish(self.jobs[event.request], answer=False)
+
+    def on_stream(self, event: api.StreamStarted) -> None:
+        if event.request in self.jobs:
+            self.jobs[event.request].streaming = True
 
     def step(self, now: float, events: list[api.Event]) -> list[api.Action]:
         """Take in a whole batch, then release once, so that queries arriving together compete by deadline."""
@@ -722,6 +722,7 @@
             self.clock_set = True
             self.timer(now + HOUSEKEEPING, None)
         for event in events:
-            self.handle(event)
+            if handler := self.handlers.get(type(event)):
+                handler(event)
         self.release()
         return self.actions
