Tried: memory share of 1.5 over the gateway count; folds and small faults found on reading

The folds stay: an engine that returns with an old start time counts as cold and keeps its ledger, trials are spread by the seed, idle windows no longer grow.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -10,6 +10,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
 from hashlib import blake2b
 from random import Random
 
@@ -22,7 +23,7 @@
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.0  # share under full pressure, over the gateway count; below any knee
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
-MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
+MEMORY_SHARE = 1.5  # of an engine's memory, over the gateway count, that own grants may fill: others idle
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
 MEMORY_ANSWERS = 40.0  # answers that a mean remembers: a handful of seconds of one class's traffic
@@ -152,33 +153,25 @@
         return any(a.job.cls.is_load and a.job.tables == tables for a in self.out.values())
 
 
+@dataclass(slots=True, eq=False)
 class Attempt:
-    __slots__ = ("cancelled", "engine", "grant", "job", "n", "outcome", "sent", "threads")
+    """One send of a request; late outcomes find it after the request has ended."""
 
-    def __init__(self, job: Job, n: int, engine: Engine, now: float, threads: float, grant: float) -> None:
-        self.job, self.n, self.engine, self.sent, self.threads, self.grant = (
-            job,
-            n,
-            engine,
-            now,
-            threads,
-            grant,
-        )
-        self.outcome: Outcome | None = None
-        self.cancelled = False
+    job: Job
+    n: int
+    engine: Engine
+    sent: float
+    threads: float
+    grant: float
+    outcome: Outcome | None = None
+    cancelled: bool = False
 
 
 class Job:
     """One request of a client."""
 
     def __init__(self, event: api.Arrival, cls: api.ClassSettings, now: float) -> None:
-        self.id, self.index, self.cls, self.tenant, self.key = (
-            event.request,
-            event.cls,
-            cls,
-            event.tenant,
-            event.key,
-        )
+        self.id, self.index, self.key, self.cls = event.request, event.cls, event.key, cls
         self.arrival, self.limit = now, now + sane(event.remaining, 0.0, cls.deadline or 1e9)
         self.cost, self.memory, self.tables = sane(event.cost), sane(event.memory_mb), event.tables
         self.deadline = self.limit
@@ -268,8 +261,10 @@
         restarted = entry.started != engine.started and entry.started > 0.0
         back = engine.state is EngineState.GONE and entry.state is EngineState.READY
         engine.update(entry)
-        if restarted or back:
+        if restarted:
             engine.restart()
+        elif back:  # it may have restarted unseen: nothing tells when, so it counts as cold from now
+            engine.reborn_at = self.now
 
     def coldness(self, engine: Engine) -> float:
         """Share of the cold time that is left; 0 once warm. The later of told and suspected starts counts."""
@@ -336,7 +331,7 @@
             return True
         if engine.memory_size:
             # Past the memory a query spills and does its work several times over: waiting is cheaper.
-            room = engine.memory_size * MEMORY_SHARE / self.settings.gateways - engine.memory
+            room = engine.memory_size * min(1.0, MEMORY_SHARE / self.settings.gateways) - engine.memory
             if self.terms(job)[0] > room:
                 return False
         return engine.threads < engine.limit and engine.threads + job.cls.threads <= engine.limit + 1.0
@@ -365,7 +360,9 @@
         """Rule 5: only the head of its key's queue may be sent, and only after the key's rest."""
         if not job.cls.ordered or not job.key:
             return True
-        return self.keys[job.key][0] is job and self.key_rest.get(job.key, -math.inf) <= self.now
+        if self.key_rest.get(job.key, -math.inf) <= self.now:
+            self.key_rest.pop(job.key, None)
+        return self.keys[job.key][0] is job and job.key not in self.key_rest
 
     def extra_allowed(self, job: Job) -> bool:
         """Rule 7: a sliding window over arrivals and further attempts, checked at each of the latter."""
@@ -443,10 +440,10 @@
         if self.settings.grants_heeded or self.settings.priorities_heeded:
             self.actions.append(api.SetTerms(job.id, grant if self.settings.grants_heeded else 0.0, priority))
         attempt = Attempt(job, len(job.attempts), engine, now, min(job.cls.threads, engine.cores), grant)
-        if job.attempts:
+        if job.attempts and self.rules.budget_free is not None:
             self.extras.append(now)
         if engine.ill:
-            engine.next_trial = now + engine.trial_gap
+            self.put_off_trial(engine)
         job.attempts.append(attempt)
         job.out += 1
         job.held = False
@@ -513,7 +510,8 @@
         if job.cost:
             self.learned[index].told_estimate(job.cost)
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
-        self.taken.append(self.now)
+        if self.rules.budget_free is not None:
+            self.taken.append(self.now)
         self.jobs[job.id] = job
         if job.cls.ordered and job.key:
             self.keys.setdefault(job.key, deque()).append(job)
@@ -530,15 +528,12 @@
         engine.memory -= attempt.grant
         attempt.outcome = event.outcome
         job.out -= 1
-        if (
-            event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
-            and job.cls.ordered
-            and job.key
-        ):
+        unsure = event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+        if unsure and job.cls.ordered and job.key:
             self.key_rest[job.key] = self.now + self.rules.order_settle
         if event.outcome is Outcome.MOOT and attempt.n and attempt.sent in self.extras:
             self.extras.remove(attempt.sent)
-        self.judge(engine, event.outcome, attempt)
+        self.judge(engine, event.outcome)
         if event.outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
             crowd = self.learned[job.index].answered(job, elapsed, sane(event.work), sane(event.memory_mb))
@@ -570,7 +565,7 @@
 
     # --- health ---
 
-    def judge(self, engine: Engine, outcome: Outcome, attempt: Attempt | None = None) -> None:
+    def judge(self, engine: Engine, outcome: Outcome) -> None:
         """Keep the engine's failure share; condemn and acquit with hysteresis."""
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             engine.heard = self.now
@@ -591,22 +586,25 @@
             self.log(f"engine {engine.id.hex()} answers again, back in use")
         elif engine.ill and outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
             engine.trial_gap = min(engine.trial_gap * 2.0, TRIAL_GAP_MOST)
-            engine.next_trial = self.now + engine.trial_gap
+            self.put_off_trial(engine)
         self.trust()
 
     def condemn(self, engine: Engine, why: str) -> None:
         engine.ill, engine.fails, engine.silent = True, 1.0, why == "silent"
-        engine.trial_gap, engine.next_trial = TRIAL_GAP, self.now + TRIAL_GAP
+        engine.trial_gap = TRIAL_GAP
+        self.put_off_trial(engine)
         self.log(f"engine {engine.id.hex()} {why}, left alone but for trials")
 
+    def put_off_trial(self, engine: Engine) -> None:
+        """The next trial, spread by the seed so that gateways do not all try at once."""
+        engine.next_trial = self.now + engine.trial_gap * self.random.uniform(0.8, 1.2)
+
     def trust(self) -> None:
         everyone = self.ready()
         distrust = sum(e.ill and not e.silent for e in everyone) > ILL_SHARE * len(everyone)
         if distrust != self.distrust:
             self.distrust = distrust
-            self.log(
-                "most engines look ill, verdicts ignored" if distrust else "verdicts on engines hold again"
-            )
+            self.log("most engines look ill, verdicts ignored" if distrust else "verdicts hold again")
 
     def look_for_silence(self) -> None:
         """A busy engine with no word for long while others speak: take our work back from it.
