--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -23,7 +23,7 @@
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.0  # share under full pressure, over the gateway count; below any knee
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
-MEMORY_SHARE = 1.5  # of an engine's memory, over the gateway count, that own grants may fill: others idle
+MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
 MEMORY_ANSWERS = 40.0  # answers that a mean remembers: a handful of seconds of one class's traffic
@@ -331,7 +331,7 @@
             return True
         if engine.memory_size:
             # Past the memory a query spills and does its work several times over: waiting is cheaper.
-            room = engine.memory_size * min(1.0, MEMORY_SHARE / self.settings.gateways) - engine.memory
+            room = engine.memory_size * MEMORY_SHARE / self.settings.gateways - engine.memory
             if self.terms(job)[0] > room:
                 return False
         return engine.threads < engine.limit and engine.threads + job.cls.threads <= engine.limit + 1.0
