Best latency forgets five times slower

Symptom: look-ups take 1.2 s for 0.3 s of work, on all engines alike, while limits stay up. Cause: the best latency crept up within seconds of a jam, so the jam looked normal. Told from the loss of a room by starting 15 s before the first reset.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -28,6 +28,9 @@
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
 MEMORY_ANSWERS = 40.0  # answers that a mean remembers: a handful of seconds of one class's traffic
 RATIO_DECAY = 0.97  # per answer, for latency over estimate; the same horizon as MEMORY_ANSWERS
+BEST_DRIFT = (
+    0.002  # how fast the best latency forgets: far slower than a jam lasts, or a jam becomes the norm
+)
 EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
 # --- pressure ---
 PRESSED = 2.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
@@ -101,7 +104,9 @@
             return elapsed / self.exec_time(job.cost) if self.count > SEED_ANSWERS else 1.0
         self.work = self.mean(self.work, work)
         stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
-        self.best += (0.1 if stretch < self.best else 0.01) * (min(stretch, self.best * 2.0) - self.best)
+        self.best += (0.1 if stretch < self.best else BEST_DRIFT) * (
+            min(stretch, self.best * 2.0) - self.best
+        )
         return stretch / self.best
 
     def calm_time(self, cost: float) -> float:
