--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -33,8 +33,8 @@
 )
 EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
 # --- pressure ---
-PRESSED = 2.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
-RELAXED = 1.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
+PRESSED = 2.8  # latency over this x the best seen is pressure; less can be a slow spell that all share
+RELAXED = 2.0  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
 SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
 SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
 # --- guards ---
