Floor of 1.3 threads a core, pressure from 2.0 x the best

Cause: in a slow spell that all engines share the floor of one thread a core left room unused, while the knee lies above it.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -21,7 +21,7 @@
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
 GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
-SHARE_THREADS_PER_CORE = 1.0  # share under full pressure, over the gateway count; below any knee
+SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
 MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
@@ -33,8 +33,8 @@
 )
 EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
 # --- pressure ---
-PRESSED = 2.8  # latency over this x the best seen is pressure; less can be a slow spell that all share
-RELAXED = 2.0  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
+PRESSED = 2.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
+RELAXED = 1.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
 SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
 SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
 # --- guards ---
