--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -23,7 +23,6 @@
 SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
-TENANT_SPAN = 5.0  # seconds over which a tenant's rate is judged: bursts pass, a steady excess does not
 MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
@@ -184,7 +183,6 @@
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts without an outcome
         self.held = self.ended = self.streaming = False
-        self.over = False  # beyond its tenant's allowance
         self.reruns = 0
         self.avoid: list[bytes] = []  # engines that failed this request
 
@@ -215,7 +213,6 @@
         self.key_rest: dict[int, float] = {}  # rule 5: a key rests until then
         self.taken: deque[float] = deque()  # rule 7: arrivals in the window
         self.extras: deque[float] = deque()  # rule 7: further attempts in the window
-        self.tenants: dict[int, tuple[float, float]] = {}  # decayed arrivals and when last counted
         self.distrust = False
         self.blocked = False  # the last release left a query for want of room
         self.next_lapse = -math.inf
@@ -411,11 +408,11 @@
                 self.finish(job)
         self.blocked = False
         waiting = [j for j in self.held if self.turn(j) and self.extra_allowed(j)]
-        waiting.sort(key=lambda j: (j.over, j.deadline, j.id))
+        waiting.sort(key=lambda j: (j.deadline, j.id))
         while waiting:
             first = waiting[0]
             end = first.deadline + GROUP_RANGE * (first.deadline - first.arrival)
-            group = [j for j in waiting if j.over == first.over and j.deadline <= end]
+            group = [j for j in waiting if j.deadline <= end]
             job = min(group, key=lambda j: (self.exec_time(j), j.deadline, j.id))
             waiting.remove(job)
             engine = self.place(job)
@@ -511,16 +508,6 @@
 
     # --- requests and outcomes ---
 
-    def over_share(self, tenant: int) -> bool:
-        """Exception to deadline order: beyond its tenant's allowance, by a decayed count, a query yields."""
-        if tenant >= len(self.settings.tenants):
-            return False
-        count, at = self.tenants.get(tenant, (0.0, self.now))
-        count = count * math.exp((at - self.now) / TENANT_SPAN) + 1.0
-        self.tenants[tenant] = (count, self.now)
-        allowance = self.settings.tenants[tenant].allowance / self.settings.gateways
-        return 0.0 < allowance * TENANT_SPAN < count
-
     def on_arrival(self, event: api.Arrival) -> None:
         index = min(event.cls, len(self.learned) - 1)
         job = Job(event, self.settings.classes[index], self.now)
@@ -528,7 +515,6 @@
         if job.cost:
             self.learned[index].told_estimate(job.cost)
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
-        job.over = self.over_share(event.tenant)
         if self.rules.budget_free is not None:
             self.taken.append(self.now)
         self.jobs[job.id] = job
