--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,178 @@
+"""One small test for each failure that was found; each fails without its fix."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from conftest import LOOKUP, REPORT, Driver, engine_id, make_settings, one_class
+
+from saffronlane import interface as api
+from saffronlane.interface import EngineState, ListMode, NoteKind, Outcome
+
+LOAD = replace(REPORT, name="load", threads=2, is_load=True)
+NOTED = {"note_period": 1.0}
+
+
+def warmed(**changes: object) -> Driver:
+    """A driver whose classes have learned 0.1 s of work and latency each."""
+    driver = Driver(make_settings(**changes), engines=4)
+    for cls in range(len(driver.gateway.settings.classes)):
+        for _ in range(20):
+            driver.end(driver.ask(cls=cls), Outcome.OK, work=0.1, elapsed=0.1)
+    return driver
+
+
+def test_a_long_queue_of_one_class_is_not_tried_engine_by_engine(monkeypatch: pytest.MonkeyPatch) -> None:
+    driver = warmed()
+    for engine in driver.gateway.engines.values():
+        engine.limit = 0.5
+    driver.step(*(driver.arrival() for _ in range(300)))
+    calls = []
+    place = driver.gateway.place
+    monkeypatch.setattr(driver.gateway, "place", lambda job: calls.append(job) or place(job))
+    driver.step()
+    assert len(calls) <= 2
+
+
+def test_time_outs_at_the_clients_limit_do_not_condemn_an_engine(driver: Driver) -> None:
+    driver.list([api.EngineEntry(engine_id(0), EngineState.READY)])
+    for _ in range(10):
+        driver.end(driver.ask(), Outcome.TIMEOUT)
+    assert not driver.gateway.engines[engine_id(0)].ill
+
+
+def test_errors_condemn_an_engine_and_trials_bring_it_back(driver: Driver) -> None:
+    bad = driver.gateway.order(0.0)[0]
+    while not bad.ill:
+        request = driver.ask(tables=0.0)
+        first = driver.sends(request)[0].engine == bad.id
+        driver.end(request, Outcome.ERROR if first else Outcome.OK, work=0.1)
+    requests = [driver.ask(tables=0.0) for _ in range(6)]
+    assert bad.id not in {driver.sends(r)[0].engine for r in requests}
+    for request in requests:
+        driver.end(request, Outcome.OK, work=0.1)
+    start = driver.now
+    while bad.ill and driver.now < start + 20.0:
+        driver.pass_time(driver.now + 0.2)
+        for _ in range(3):
+            driver.end(driver.ask(tables=0.0), Outcome.OK, work=0.1)
+    assert driver.now - start < 10.0
+
+
+def test_no_verdict_binds_when_most_engines_look_ill(driver: Driver) -> None:
+    for engine in list(driver.gateway.engines.values())[:3]:
+        driver.gateway.condemn(engine, "failing")
+    driver.gateway.trust()
+    used = {driver.sends(driver.ask(tables=float(i)))[0].engine for i in range(12)}
+    assert len(used) > 1
+
+
+def test_silent_engine_loses_its_work_and_one_answer_brings_it_back() -> None:
+    driver = warmed(**NOTED)
+    request = driver.ask(tables=1.0)
+    silent = driver.gateway.engines[driver.sends(request)[0].engine]
+    other = next(r for r in (driver.ask(tables=float(i), cls=1) for i in range(9))
+                 if driver.sends(r)[0].engine != silent.id)  # fmt: skip
+    for _ in range(5):
+        driver.pass_time(driver.now + 0.7)
+        engine = driver.sends(other)[0].engine
+        driver.step(api.Note(other, 0, engine, NoteKind.PROGRESS, 0.9))
+    assert silent.ill and driver.of_kind(api.Cancel, request)
+    driver.gateway.judge(silent, Outcome.OK)
+    assert not silent.ill
+
+
+def test_engine_with_only_long_queries_is_not_silent_where_no_notes_come() -> None:
+    driver = Driver(make_settings(classes=(LOOKUP, replace(REPORT, aim=3.0))), engines=4)
+    requests = [driver.ask(cls=1, tables=float(i)) for i in range(4)]
+    first = driver.sends(requests[0])[0].engine
+    for _ in range(10):
+        driver.pass_time(driver.now + 0.4)
+        request = driver.ask()
+        if driver.sends(request)[0].engine != first:
+            driver.end(request, Outcome.OK, work=0.1)
+    assert not driver.gateway.engines[first].ill
+
+
+def test_a_load_avoids_an_engine_that_holds_a_load_of_its_group() -> None:
+    driver = Driver(make_settings(classes=(LOAD,)), engines=6)
+    engines = [driver.sends(driver.ask(tables=4.0))[0].engine for _ in range(6)]
+    assert len(set(engines)) == 6
+
+
+def test_grants_stay_within_the_gateways_part_of_an_engines_memory() -> None:
+    driver = Driver(make_settings(grants_heeded=True, gateways=2), engines=1)
+    for _ in range(10):
+        driver.ask(cls=1, memory_mb=3000.0)
+    size = driver.gateway.settings.kinds[0].memory_mb
+    assert len(driver.sends()) >= 2
+    assert sum(terms.grant_mb for terms in driver.of_kind(api.SetTerms)) <= size / 2
+
+
+def test_a_query_on_several_threads_must_fit_whole() -> None:
+    driver = warmed()
+    for engine in driver.gateway.engines.values():
+        engine.limit = 4.0
+    for _ in range(4):
+        driver.ask()
+    busy = [engine for engine in driver.gateway.engines.values() if engine.threads >= 2]
+    long = driver.ask(cls=1)
+    assert not driver.sends(long) or driver.sends(long)[0].engine not in {e.id for e in busy}
+
+
+def slow_run(driver: Driver, request: int, attempt: int, seconds: float = 1.0) -> None:
+    driver.now += seconds
+    engine = driver.sends(request)[attempt].engine
+    driver.step(api.Note(request, attempt, engine, NoteKind.PROGRESS, 0.02))
+
+
+def test_second_slow_run_is_given_up_at_once_when_it_cannot_end_in_time() -> None:
+    driver = warmed(**NOTED)
+    request = driver.ask(cls=1)
+    slow_run(driver, request, 0)
+    assert not driver.answers(request)
+    driver.end(request, Outcome.CANCELLED, elapsed=1.0)
+    slow_run(driver, request, 1)
+    (answer,) = driver.answers(request)
+    assert isinstance(answer, api.Refuse) and answer.retry_after > 0.0
+    assert driver.of_kind(api.Cancel, request)[-1] == api.Cancel(request, 1)
+
+
+def test_a_lasting_jam_still_counts_as_pressure() -> None:
+    driver = Driver(make_settings(classes=one_class(late_value=0.5)), engines=1)
+    for _ in range(40):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
+    engine = driver.gateway.engines[engine_id(0)]
+    for _ in range(200):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.4)
+    assert engine.limit <= driver.gateway.share(engine) + 1.0
+
+
+def test_engine_back_with_its_old_start_time_counts_as_cold() -> None:
+    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=14.0)
+    driver = Driver(make_settings(guarantees=guarantees), engines=2)
+    driver.list([api.EngineEntry(engine_id(0), EngineState.GONE)], ListMode.DELTA)
+    driver.list([api.EngineEntry(engine_id(0), EngineState.READY)], ListMode.DELTA)
+    engine = driver.gateway.engines[engine_id(0)]
+    assert driver.gateway.coldness(engine) > 0.0
+
+
+def test_a_moot_attempt_gives_back_its_own_budget_entry() -> None:
+    guarantees = api.Guarantees(budget_free=3.0, budget_window=10.0)
+    driver = Driver(make_settings(guarantees=guarantees, classes=one_class(late_value=0.5)), engines=4)
+    first, second = driver.ask(), driver.ask()
+    driver.end(first, Outcome.REJECTED)
+    driver.now += 0.5
+    driver.end(second, Outcome.REJECTED)
+    driver.end(first, Outcome.MOOT, attempt=1)
+    assert list(driver.gateway.extras)[0] == 100.5
+
+
+def test_a_failed_subscription_is_asked_for_again() -> None:
+    driver = Driver(make_settings(ask_for_list=True))
+    driver.pass_time(101.0)
+    assert len(driver.of_kind(api.Subscribe)) == 1
+    driver.step(api.ListUpdate(ListMode.FAILED))
+    driver.pass_time(102.0)
+    assert len(driver.of_kind(api.Subscribe)) == 2
