--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -38,7 +38,7 @@
 SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
 SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
 # --- guards ---
-COLD_MARGIN = 1.0  # share of a cold engine's budget used; counting it as cold until warm is margin enough
+COLD_MARGIN = 0.85  # use only this share of a cold engine's budget: a query's work is but estimated
 END_MARGIN = 0.03  # answer this long before the client's time ends; covers a few ticks of delay
 TTL_MARGIN = 0.25  # a keyed repeat leaves this long before its window closes: it must arrive inside it
 LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
