--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -43,6 +43,7 @@
 TTL_MARGIN = 0.25  # a keyed repeat leaves this long before its window closes: it must arrive inside it
 LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
 HOUSEKEEPING = 0.05  # seconds between looks at silent engines and lapsed queries
+ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
 # --- health ---
 FAIL_STEP = 0.2  # weight of one outcome in an engine's failure share: five bad ones in a row condemn it
 HARD_FAIL_STEP = 0.5  # weight of a reset or failed connect: two mean that the process is gone
@@ -204,6 +205,8 @@
         self.now = 0.0
         self.actions: list[api.Action] = []
         self.learned = [Learned(cls) for cls in settings.classes]
+        safe = [i for i, cls in enumerate(settings.classes) if cls.effect is Effect.SAFE]
+        self.trial_classes = safe or list(range(len(settings.classes)))  # may try an ill engine
         self.engines: dict[bytes, Engine] = {}
         self.orders: dict[float, list[Engine]] = {}  # hash order by table group
         self.jobs: dict[int, Job] = {}  # owed a final answer
@@ -215,7 +218,7 @@
         self.extras: deque[float] = deque()  # rule 7: further attempts in the window
         self.distrust = False
         self.blocked = False  # the last release left a query for want of room
-        self.next_lapse = -math.inf
+        self.next_lapse = self.next_ask = -math.inf
         self.clock_set = self.asked = False
         self.next_token = 1
         self.handlers = {
@@ -245,7 +248,7 @@
 
     def on_list(self, event: api.ListUpdate) -> None:
         if event.mode is ListMode.FAILED:
-            self.asked = False  # asked again at the next housekeeping
+            self.asked, self.next_ask = False, self.now + ASK_GAP
             return
         named = set()
         for entry in event.entries:
@@ -315,12 +318,17 @@
         return True
 
     def healthy(self, engine: Engine, job: Job) -> bool:
-        """An ill engine gets one safe, short query at a time as a trial; distrusted verdicts bind nobody."""
+        """An ill engine gets one short query at a time as a trial; distrusted verdicts bind nobody."""
         if not engine.ill or (self.distrust and not engine.silent):
             return True
-        return (job.cls.effect is Effect.SAFE and not engine.out and not engine.probing
-                and self.now >= engine.next_trial
-                and self.exec_time(job) <= min(known.latency for known in self.learned) * 2.0)  # fmt: skip
+        if (
+            engine.out
+            or engine.probing
+            or self.now < engine.next_trial
+            or job.index not in self.trial_classes
+        ):
+            return False
+        return self.exec_time(job) <= 2.0 * min(self.learned[i].latency for i in self.trial_classes)
 
     def share(self, engine: Engine) -> float:
         return engine.cores * SHARE_THREADS_PER_CORE / self.settings.gateways
@@ -568,6 +576,7 @@
         elif engine.crowd < RELAXED and engine.threads >= engine.limit - 4.0:
             engine.limit += GROW
 
+    ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
     # --- health ---
 
     def judge(self, engine: Engine, outcome: Outcome) -> None:
@@ -689,7 +698,7 @@
                 self.finish(job)
             return
         self.look_for_silence()
-        if self.settings.ask_for_list and not self.asked:
+        if self.settings.ask_for_list and not self.asked and self.now >= self.next_ask:
             self.asked = True
             self.actions.append(api.Subscribe(True))
         if self.limits.probing:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -180,3 +180,15 @@
     driver.step(api.ListUpdate(ListMode.FAILED))
     driver.pass_time(102.0)
     assert len(driver.of_kind(api.Subscribe)) == 2
+
+
+def test_an_ill_engine_is_tried_also_where_the_short_class_is_unsafe() -> None:
+    classes = (replace(LOOKUP, effect=api.Effect.UNSAFE), REPORT)
+    driver = Driver(make_settings(classes=classes), engines=3)
+    for _ in range(20):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
+    bad = driver.gateway.order(0.0)[0]
+    driver.gateway.condemn(bad, "failing")
+    driver.now += 5.0
+    assert driver.sends(driver.ask(cls=0, tables=0.0))[0].engine != bad.id
+    assert driver.sends(driver.ask(cls=1, tables=0.0))[0].engine == bad.id
