--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -219,7 +219,7 @@
         self.distrust = False
         self.blocked = False  # the last release left a query for want of room
         self.next_lapse = self.next_ask = -math.inf
-        self.clock_set = self.asked = False
+        self.asked = False
         self.next_token = 1
         self.handlers = {
             api.ListUpdate: self.on_list, api.Arrival: self.on_arrival, api.AttemptEnded: self.on_ended,
@@ -250,11 +250,10 @@
         if event.mode is ListMode.FAILED:
             self.asked, self.next_ask = False, self.now + ASK_GAP
             return
-        named = set()
         for entry in event.entries:
-            named.add(entry.engine)
             self.on_entry(entry)
         if event.mode is not ListMode.DELTA:
+            named = {entry.engine for entry in event.entries}
             for engine in self.engines.values():
                 if engine.id not in named:
                     engine.state = EngineState.GONE
@@ -312,9 +311,8 @@
             return False
         first = job.first_maybe()
         if cls.effect is Effect.KEYED and first is not None and cls.group is not Group.ALL:
-            if cls.group is Group.ZONE:
-                return engine.zone == first.engine.zone
-            return engine.cell == first.engine.cell
+            same_zone, same_cell = engine.zone == first.engine.zone, engine.cell == first.engine.cell
+            return same_zone if cls.group is Group.ZONE else same_cell
         return True
 
     def healthy(self, engine: Engine, job: Job) -> bool:
@@ -438,11 +436,9 @@
         grant = job.memory * known.need_ratio if job.memory else known.need * 1.1
         largest = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
         grant = min(grant, largest) if largest else grant
-        if not settings.priorities_heeded:
-            return grant, 1
         total = sum(k.count * k.work for k in self.learned)
         worth = sum(k.count * k.cls.value for k in self.learned)
-        if not total:
+        if not settings.priorities_heeded or not total or not worth:
             return grant, 1
         density = job.cls.value / max(1e-3, known.calm_time(job.cost) * job.cls.threads) / (worth / total)
         return grant, 3 if density >= 2.0 else 2 if density >= 1.0 else 1 if density >= 0.4 else 0
@@ -636,9 +632,8 @@
             return
         for engine in quiet:
             outs = list(engine.out.values())
-            if not self.settings.note_period and not any(
-                self.now - a.sent > max(patience, OVERDUE * self.exec_time(a.job)) for a in outs
-            ):
+            overdue = [a for a in outs if self.now - a.sent > max(patience, OVERDUE * self.exec_time(a.job))]
+            if not self.settings.note_period and not overdue:
                 continue
             if not engine.ill:
                 self.condemn(engine, "silent")
@@ -649,9 +644,8 @@
 
     def may_repeat(self, job: Job) -> bool:
         """Whether another attempt could follow a cancel of the one that is out."""
-        if job.ended or job.streaming or len(job.attempts) >= self.limits.max_attempts:
-            return False
-        if not self.extra_allowed(job):
+        capped = len(job.attempts) >= self.limits.max_attempts
+        if job.ended or job.streaming or capped or not self.extra_allowed(job):
             return False
         if job.cls.effect is Effect.KEYED:
             return job.cls.group is Group.ALL and not self.expired(job)
@@ -692,9 +686,8 @@
     def on_timer(self, event: api.TimerFired) -> None:
         if event.token not in self.timers:
             return
-        job = self.timers.pop(event.token)
-        if job is not None:
-            if not job.ended and not job.streaming:
+        if job := self.timers.pop(event.token):
+            if not job.streaming:
                 self.finish(job)
             return
         self.look_for_silence()
@@ -730,8 +723,7 @@
         """Take in a whole batch, then release once, so that queries arriving together compete by deadline."""
         self.now = now
         self.actions = []
-        if not self.clock_set:
-            self.clock_set = True
+        if not self.timers:  # the first step; housekeeping renews its own timer ever after
             self.timer(now + HOUSEKEEPING, None)
         for event in events:
             if handler := self.handlers.get(type(event)):
