One form of each mechanism for few and many gateways; what others hold is told, waited for nowhere, lost answers tried again

Cause: with 50 to 250 gateways a gateway's part of an engine is less than one query: own threads are 0 or 1, so all took the same first engine of a group; shares never bound; lost answers and lines for memory were waited out. Change: own work of the last 10 s counts as load; one limit over all engines with slack for chance and a lane for short queries; cold engines take whole queries at a pace, each gateway's turn drawn by its seed; an attempt without a word for 1.4 note periods or waiting in an engine's line is tried elsewhere; loads have an order of each gateway's own; heavy queries are told to the peers (start 9 bytes, end 2), so that memory, threads and loads of others are known. Probes dropped: trials do the same. State without decisions (engines, attempts, turns of keys) moved to state.py, the message format to messages.py.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -1,197 +1,125 @@
 """Settings, events, actions: see `saffronlane/interface.py`. This module makes every decision of a gateway.
 
 Read it from `Gateway.step` at the bottom upwards. The ordinary path is group EDF: a query's deadline is its
-arrival plus MULTIPLIER x ExecTime; while an engine is under its share, the earliest deadline names a group
-and its smallest query leaves first, to the less loaded of the first two engines in its table group's hash
-order. A held query whose time has lapsed is refused. The rest guards the rules or copes with trouble.
+arrival plus MULTIPLIER x ExecTime; while own work is under its share, the earliest deadline names a group and
+its smallest query leaves first, to the less loaded of the first two engines in its table group's hash order.
+A held query whose time has lapsed is refused. The rest guards the rules or copes with trouble. A gateway may
+be one of two or of hundreds: a part of an engine can be less than one query, and no code asks which it is.
 """
 
 from __future__ import annotations
 
 import math
-from collections import deque
-from dataclasses import dataclass
+from collections.abc import Iterator
 from hashlib import blake2b
 from random import Random
 
 from . import interface as api
+from . import messages
 from .interface import Effect, EngineState, Group, ListMode, NoteKind, Outcome
+from .state import Attempt, Engine, Job, Recent, ToldBoard, Turns, Window, sane
 
 # --- the ordinary path ---
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
 GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
-SPILL = 1.25  # an engine over this x mean own threads plus one query is passed by; the design's start value
+SPILL = 1.25  # an engine over this x mean load plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
+SHARE_CHANCE = 1.5  # the share's slack in standard deviations: of few queries some are out together by chance
+HORIZON = 10.0  # seconds that own sent work counts as load: where few queries are out, those tell nothing
 LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
 MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
-MEMORY_ANSWERS = 40.0  # answers that a mean remembers: a handful of seconds of one class's traffic
-RATIO_DECAY = 0.97  # per answer, for latency over estimate; the same horizon as MEMORY_ANSWERS
-BEST_DRIFT = (
-    0.002  # how fast the best latency forgets: far slower than a jam lasts, or a jam becomes the norm
-)
+DECAY = 0.97  # per answer, of what is learned: a handful of seconds of one class's traffic
+BEST_DRIFT = 0.002  # how fast the best latency forgets: far slower than a jam, or a jam becomes the norm
 EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
+NEED_SEED = 1.25  # memory needed over memory told until answers tell
+NEED_UP, NEED_DOWN = 0.15, 0.02  # steps of the memory needed, a high quantile: a spill costs more than spare
 # --- pressure ---
-PRESSED = 2.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
-RELAXED = 1.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
+PRESSED = 4.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
+RELAXED = 2.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
 SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
 SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
+FULL_MEMORY = 1.0  # seconds that an engine where a query had to wait is left out
 # --- guards ---
 COLD_MARGIN = 0.85  # use only this share of a cold engine's budget: a query's work is but estimated
+COLD_CHANCE = 0.5  # the same where a part is less than a query: those of many gateways meet by chance
+COLD_LARGEST = 0.1  # largest query for a cold engine, of its budget: a few of them must not fill it by chance
 END_MARGIN = 0.03  # answer this long before the client's time ends; covers a few ticks of delay
 TTL_MARGIN = 0.25  # a keyed repeat leaves this long before its window closes: it must arrive inside it
 LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
-HOUSEKEEPING = 0.05  # seconds between looks at silent engines and lapsed queries
+HOUSEKEEPING = 0.05  # seconds between wakes while queries are held or the list is to be asked for
 ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
 SURVIVED = 0.1  # seconds after a break at which an answer to earlier work is no longer one still on its way
 # --- health ---
-FAIL_STEP = 0.2  # weight of one outcome in an engine's failure share: five bad ones in a row condemn it
-HARD_FAIL_STEP = 0.5  # weight of a reset or failed connect: two mean that the process is gone
+FAIL_STEP, HARD_FAIL_STEP = 0.2, 0.5  # least weight of an outcome; of a break or silence: two condemn
+FAIL_MEMORY = 10.0  # seconds after which what was known of an engine weighs little against a new outcome
 ILL, WELL = 0.5, 0.2  # failure share at which an engine is left alone, and under which it is back
 ILL_SHARE = 0.5  # with more than this share of engines ill the verdict is distrusted: the cause is elsewhere
 TRIAL_GAP, TRIAL_GAP_MOST = 0.4, 3.0  # seconds between trials of an ill engine; doubled while trials fail
-SILENT_NOTES = 2.5  # note periods without any word from a busy engine before it counts as silent
-OVERDUE = 5.0  # without notes, silence counts once some attempt has taken this x its ExecTime
-SILENT_FLOOR = 2.0  # the same in seconds where no notes come
-# --- bad plans ---
+SILENT_NOTES = 1.4  # note periods without a word of an attempt before it counts as lost
+OVERDUE, SILENT_FLOOR = 5.0, 0.5  # without notes: this x its ExecTime, and at least this many seconds
 BEHIND = 4.0  # cancel when the remainder would take this x a fresh run: far outside the usual scatter
-HOPELESS = 0.5  # progress is rough: give up only if the end lies this share of the time left beyond the limit
-RERUNS = 1  # a second slow run means that the query itself is long, not its plan
-
-NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.MOOT)
-
-
-def sane(value: float, least: float = 0.0, most: float = 1e9) -> float:
-    """Clamp what others report; NaN counts as the least."""
-    return min(max(value, least), most) if value == value else least
-
+HOPELESS = 1.5  # progress is rough: give up only if the remainder is this x the time that is left
+# --- what gateways tell each other ---
+TOLD_THREADS_PER_CORE = 2.0  # own and told threads past which heavy queries wait; the design's value
+TOLD_MEMORY = 0.85  # of an engine's memory that own and told grants may fill; the rest is for untold queries
+TOLD_PATIENCE = 3.0  # what has no end told counts for this x its expected span: a message may be lost
+SENDERS_MOST = 2  # senders up to this x the gateway count are known: it may be a little out of date
 
 class Learned:
-    """What the answers of one class have taught: latency, work, memory."""
+    """What the answers of one class have taught. Where no estimates are told, each counts as 1."""
 
     def __init__(self, cls: api.ClassSettings) -> None:
-        self.cls = cls
-        self.count = 0
-        self.latency = cls.aim  # mean latency, seeded to the class's aim
-        self.work = cls.aim * cls.threads  # mean work; seeded high, so that cold engines get little
-        self.told = 0.0  # mean told estimate
-        self.latency_sum = self.estimate_sum = self.work_sum = 0.0  # decayed: their ratios correct estimates
+        self.cls, self.count = cls, 0
+        self.estimates = self.told = 0.0  # decayed sum, as the next two, and mean told estimate
+        self.latencies = cls.aim * SEED_ANSWERS  # their ratios to the estimates correct those
+        self.works = cls.aim * cls.threads * SEED_ANSWERS  # seeded high, so that cold engines get little
         self.best = 1.0  # uncrowded latency x threads / work, a low quantile
-        self.need_ratio = 1.25  # memory needed over memory told, a high quantile
-        self.need = 0.0  # memory needed, a high quantile
-
-    def mean(self, old: float, new: float) -> float:
-        return old + (new - old) / min(self.count + SEED_ANSWERS, MEMORY_ANSWERS)
+        self.need = 0.0  # memory needed over memory told, a high quantile
 
-    def told_estimate(self, cost: float) -> None:
-        self.told = self.told + (cost - self.told) / MEMORY_ANSWERS if self.told else cost
-        if not self.estimate_sum:
-            self.latency_sum, self.estimate_sum = self.cls.aim * SEED_ANSWERS, self.told * SEED_ANSWERS
+    def estimate(self, cost: float, told: bool) -> None:
+        if not self.estimates:
+            self.told, self.estimates = cost, cost * SEED_ANSWERS
+            self.works = self.estimates if told else self.works
+        self.told += (cost - self.told) * (1.0 - DECAY)
 
     def answered(self, job: Job, elapsed: float, work: float, memory: float) -> float:
         """Learn from one answer; returns how crowded it was (1: as fast as the best)."""
         self.count += 1
-        self.latency = self.mean(self.latency, elapsed)
-        if job.cost:
-            self.latency_sum = self.latency_sum * RATIO_DECAY + elapsed
-            self.estimate_sum = self.estimate_sum * RATIO_DECAY + job.cost
-            self.work_sum = self.work_sum * RATIO_DECAY + work
+        calm = self.calm_time(job.cost)
+        self.estimates = self.estimates * DECAY + job.cost
+        self.latencies = self.latencies * DECAY + elapsed
+        self.works = self.works * DECAY + (work or elapsed * self.cls.threads)
         if memory > 0.0:
-            self.need += (0.1 if memory > self.need else 0.01) * (memory - self.need)
-            if job.memory:
-                ratio = memory / job.memory
-                self.need_ratio += (0.15 if ratio > self.need_ratio else 0.02) * (ratio - self.need_ratio)
+            ratio = memory / (job.memory or 1.0)
+            self.need = self.need or max(ratio, NEED_SEED if job.memory else 0.0)
+            self.need += (NEED_UP if ratio > self.need else NEED_DOWN) * (ratio - self.need)
         if work <= 0.0:
-            return elapsed / self.exec_time(job.cost) if self.count > SEED_ANSWERS else 1.0
-        self.work = self.mean(self.work, work)
+            return elapsed / calm if self.count > SEED_ANSWERS else 1.0
         stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
-        self.best += (0.1 if stretch < self.best else BEST_DRIFT) * (
-            min(stretch, self.best * 2.0) - self.best
-        )
+        step = 0.1 if stretch < self.best else BEST_DRIFT
+        self.best += step * (min(stretch, self.best * 2.0) - self.best)
         return stretch / self.best
 
+    def work(self, cost: float = 0.0) -> float:
+        """Work to expect of an estimate, or of the usual query."""
+        if not self.estimates:
+            return self.works / SEED_ANSWERS
+        return (cost or self.told) * self.works / self.estimates
+
     def calm_time(self, cost: float) -> float:
         """Latency to expect without a crowd."""
-        work = self.work
-        if cost and self.estimate_sum:
-            work = cost * (self.work_sum / self.estimate_sum if self.work_sum else 1.0)
-        return work / self.cls.threads * self.best
-
-    def aim_time(self, cost: float) -> float:
-        """Time after arrival within which an answer earns the full worth."""
-        return self.cls.aim + self.cls.aim_stretch * self.calm_time(cost) / self.best
+        return max(1e-3, self.work(cost) / self.cls.threads * self.best)
 
-    def exec_time(self, cost: float) -> float:
+    def exec_time(self, cost: float = 0.0) -> float:
         """The design's ExecTime: estimate x learned ratio, or the mean where no estimate is told."""
-        crowded = cost * self.latency_sum / self.estimate_sum if cost and self.estimate_sum else self.latency
+        crowded = (cost or self.told) * self.latencies / self.estimates if self.estimates else self.cls.aim
         if self.count >= SEED_ANSWERS:
             crowded = min(crowded, EXEC_CAP * self.calm_time(cost))
         return max(1e-3, crowded)
 
 
-class Engine:
-    """One engine as this gateway knows it: the list's word and what its own traffic showed."""
-
-    def __init__(self, entry: api.EngineEntry, kind: api.KindSettings) -> None:
-        self.id, self.cores, self.memory_size = entry.engine, kind.cores, kind.memory_mb
-        self.threads = self.memory = 0.0  # own work that is out
-        self.out: dict[tuple[int, int], Attempt] = {}
-        self.sent: deque[tuple[float, float]] = deque()  # (time, work) sent in the last fall window
-        self.update(entry)
-        self.restart()
-
-    def update(self, entry: api.EngineEntry) -> None:
-        self.state, self.zone, self.kind, self.cell = entry.state, entry.zone, entry.kind, entry.cell
-        self.started = entry.started
-
-    def restart(self) -> None:
-        self.crowd = 1.0  # smoothed latency over the best
-        self.limit = math.inf  # own threads allowed; falls to the share under pressure
-        self.last_cut = self.heard = -math.inf
-        self.fails = 0.0  # decayed share of failures
-        self.ill = self.silent = False
-        self.broke_at = self.reborn_at = -math.inf  # signs that the process may have restarted unseen
-        self.next_trial, self.trial_gap, self.probing = -math.inf, TRIAL_GAP, False
-        self.sent.clear()
-
-    def loading(self, tables: float) -> bool:
-        return any(a.job.cls.is_load and a.job.tables == tables for a in self.out.values())
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send of a request; late outcomes find it after the request has ended."""
-
-    job: Job
-    n: int
-    engine: Engine
-    sent: float
-    threads: float
-    grant: float
-    outcome: Outcome | None = None
-    cancelled: bool = False
-
-
-class Job:
-    """One request of a client."""
-
-    def __init__(self, event: api.Arrival, cls: api.ClassSettings, now: float) -> None:
-        self.id, self.index, self.key, self.cls = event.request, event.cls, event.key, cls
-        self.arrival, self.limit = now, now + sane(event.remaining, 0.0, cls.deadline or 1e9)
-        self.cost, self.memory, self.tables = sane(event.cost), sane(event.memory_mb), event.tables
-        self.deadline = self.limit
-        self.attempts: list[Attempt] = []
-        self.out = 0  # attempts without an outcome
-        self.held = self.ended = self.streaming = False
-        self.reruns = 0
-        self.avoid: list[bytes] = []  # engines that failed this request
-
-    def first_maybe(self) -> Attempt | None:
-        """The earliest attempt that may have run, or None while it is certain that none did."""
-        return next((a for a in self.attempts if a.outcome not in NEVER_RAN), None)
-
-
 class Gateway:
     """The decisions of one gateway. Feed `step` every batch of events; carry out what it returns."""
 
@@ -201,6 +129,7 @@
         if any(kind.cores <= 0 for kind in settings.kinds) or any(c.threads < 1 for c in settings.classes):
             raise ValueError("every kind needs cores and every class at least one thread")
         self.settings, self.rules, self.limits = settings, settings.guarantees, settings.limits
+        self.largest_grant = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
         self.random = Random(seed)
         self.now = 0.0
         self.actions: list[api.Action] = []
@@ -208,42 +137,46 @@
         safe = [i for i, cls in enumerate(settings.classes) if cls.effect is Effect.SAFE]
         self.trial_classes = safe or list(range(len(settings.classes)))  # may try an ill engine
         self.engines: dict[bytes, Engine] = {}
-        self.orders: dict[float, list[Engine]] = {}  # hash order by table group
+        self.marks: dict[bytes, Engine] = {}  # by the mark that others tell of them
+        self.ready: list[Engine] = []
+        self.orders: dict[tuple[float, int], list[Engine]] = {}  # hash orders of ready engines
+        self.cores = self.threads = 0.0  # of ready engines; own threads that are out
+        self.class_threads = [0.0] * len(settings.classes)
+        self.recent = Recent()
+        self.crowd = 1.0  # smoothed latency over the best, over all engines
+        self.limit, self.last_cut = math.inf, -math.inf  # own threads allowed; under pressure, the share
+        self.told, self.next_told = ToldBoard(), 0  # others' work
         self.jobs: dict[int, Job] = {}  # owed a final answer
         self.attempts: dict[tuple[int, int], Attempt] = {}  # without an outcome, also of ended requests
-        self.held: list[Job] = []
-        self.keys: dict[int, deque[Job]] = {}  # rule 5: requests of a key in the order taken
-        self.key_rest: dict[int, float] = {}  # rule 5: a key rests until then
-        self.taken: deque[float] = deque()  # rule 7: arrivals in the window
-        self.extras: deque[float] = deque()  # rule 7: further attempts in the window
-        self.distrust = False
+        self.held: dict[int, Job] = {}
+        self.turns = Turns()  # rule 5
+        self.taken, self.extras = Window(), Window()  # rule 7: arrivals and further attempts
+        self.distrust = self.asked = False
         self.blocked = False  # the last release left a query for want of room
         self.next_lapse = self.next_ask = -math.inf
-        self.asked = False
-        self.next_token = 1
         self.handlers = {
             api.ListUpdate: self.on_list, api.Arrival: self.on_arrival, api.AttemptEnded: self.on_ended,
-            api.Note: self.on_note, api.TimerFired: self.on_timer, api.ProbeResult: self.on_probe,
+            api.Note: self.on_note, api.TimerFired: self.on_timer, api.PeerMessage: self.on_peer,
             api.ClientGone: self.on_gone, api.StreamStarted: self.on_stream,
         }  # fmt: skip
-        self.timers: dict[int, Job | None] = {}  # None: housekeeping
+        self.timers: dict[int, Job | Attempt | None] = {}  # None: housekeeping
+        self.next_token, self.wake = 1, -math.inf
 
-    # --- small helpers ---
-
-    def timer(self, at: float, job: Job | None) -> None:
+    def timer(self, at: float, whom: Job | Attempt | None) -> None:
         token, self.next_token = self.next_token, self.next_token + 1
-        self.timers[token] = job
+        self.timers[token] = whom
         self.actions.append(api.SetTimer(token, at))
 
     def log(self, text: str) -> None:
         self.actions.append(api.Log(text))
 
-    def ready(self) -> list[Engine]:
-        return [e for e in self.engines.values() if e.state is EngineState.READY]
-
     def exec_time(self, job: Job) -> float:
         return self.learned[job.index].exec_time(job.cost)
 
+    def work(self, job: Job) -> float:
+        """Work to reckon with: the class's mean, or the told estimate where that is more."""
+        return max(self.learned[job.index].work(), self.learned[job.index].work(job.cost))
+
     # --- the engine list (rules 3 and 4) ---
 
     def on_list(self, event: api.ListUpdate) -> None:
@@ -258,12 +191,16 @@
                 if engine.id not in named:
                     engine.state = EngineState.GONE
         self.orders.clear()
+        self.ready = [e for e in self.engines.values() if e.state is EngineState.READY]
+        self.cores = sum(e.cores for e in self.ready)
+        self.trust()
 
     def on_entry(self, entry: api.EngineEntry) -> None:
         engine = self.engines.get(entry.engine)
         if engine is None:
             kind = self.settings.kinds[min(entry.kind, len(self.settings.kinds) - 1)]
-            self.engines[entry.engine] = Engine(entry, kind)
+            engine = self.engines[entry.engine] = Engine(entry, kind, self.random.random())
+            self.marks[messages.engine_mark(entry.engine)] = engine
             return
         restarted = entry.started != engine.started and entry.started > 0.0
         back = engine.state is EngineState.GONE and entry.state is EngineState.READY
@@ -273,147 +210,210 @@
         elif back:  # it may have restarted unseen: nothing tells when, so it counts as cold from now
             engine.reborn_at = self.now
 
+    def cold_start(self, engine: Engine) -> float:
+        """The later of the told and the suspected start."""
+        return max(min(engine.started, self.now) if engine.started > 0.0 else -math.inf, engine.reborn_at)
+
     def coldness(self, engine: Engine) -> float:
-        """Share of the cold time that is left; 0 once warm. The later of told and suspected starts counts."""
+        """Share of the cold time that is left; 0 once warm."""
         if self.rules.cold_time <= 0.0:
             return 0.0
-        told = min(engine.started, self.now) if engine.started > 0.0 else -math.inf
-        return sane(1.0 - (self.now - max(told, engine.reborn_at)) / self.rules.cold_time, 0.0, 1.0)
+        return sane(1.0 - (self.now - self.cold_start(engine)) / self.rules.cold_time, 0.0, 1.0)
 
     def cold_room(self, engine: Engine, job: Job) -> bool:
-        """Rule 4: our part of a cold engine's budget in any fall window, whatever became of the work sent."""
-        rules = self.rules
-        while engine.sent and engine.sent[0][0] < self.now - rules.fall_window - self.settings.tick:
-            engine.sent.popleft()
+        """Rule 4: our part of a cold engine's budget, whatever becomes of the work sent.
+
+        A part can be far less than one query. A gateway then sends whole queries as far apart as its part
+        asks, the first after a share of that gap drawn by its seed: together they send what the parts allow.
+        Covers rolls, crashes, lost rooms. Harmful where a class's work is far above what was learned.
+        """
+        rules, work, now = self.rules, self.work(job), self.now
         if not rules.fall_multiple or not self.coldness(engine):
             return True
-        whole = rules.fall_multiple * rules.cold_share * engine.cores * rules.fall_window
-        budget = COLD_MARGIN * whole / self.settings.gateways
-        return sum(work for _, work in engine.sent) + self.learned[job.index].work <= budget
+        budget = rules.fall_multiple * rules.cold_share * engine.cores * rules.fall_window
+        part = COLD_MARGIN * budget / self.settings.gateways
+        if work <= part:
+            window = rules.fall_window + self.settings.tick
+            return work + sum(other for at, other in engine.sent if at >= now - window) <= part
+        gap = work / (COLD_CHANCE * budget / self.settings.gateways) * rules.fall_window
+        last = engine.sent[-1][0] if engine.sent else self.cold_start(engine) - (1.0 - engine.luck) * gap
+        return work <= COLD_LARGEST * budget and now >= last + gap
 
     # --- placement ---
 
-    def order(self, tables: float) -> list[Engine]:
+    def order(self, tables: float, salt: int = 0) -> list[Engine]:
         """Rendezvous hash order of ready engines for a table group; the same at every gateway."""
-        order = self.orders.get(tables)
+        order = self.orders.get((tables, salt))
         if order is None:
-            name = repr(float(tables)).encode()
-            order = sorted(self.ready(), key=lambda e: blake2b(name + e.id, digest_size=8).digest())
-            self.orders[tables] = order
+            name = repr((float(tables), salt)).encode()
+            order = sorted(self.ready, key=lambda e: blake2b(name + e.id, digest_size=8).digest())
+            self.orders[tables, salt] = order
         return order
 
     def allowed(self, engine: Engine, job: Job) -> bool:
         """Rules 2 and 6: where this request may go at all."""
         cls = job.cls
-        if cls.zones_only is not None and engine.zone not in cls.zones_only:
-            return False
-        if cls.kinds_only is not None and engine.kind not in cls.kinds_only:
-            return False
-        first = job.first_maybe()
-        if cls.effect is Effect.KEYED and first is not None and cls.group is not Group.ALL:
-            same_zone, same_cell = engine.zone == first.engine.zone, engine.cell == first.engine.cell
-            return same_zone if cls.group is Group.ZONE else same_cell
-        return True
+        in_zone = cls.zones_only is None or engine.zone in cls.zones_only
+        in_kind = cls.kinds_only is None or engine.kind in cls.kinds_only
+        first = job.first_maybe() if cls.effect is Effect.KEYED and cls.group is not Group.ALL else None
+        if first is None or not (in_zone and in_kind):
+            return in_zone and in_kind
+        zone, cell = engine.zone == first.engine.zone, engine.cell == first.engine.cell
+        return zone if cls.group is Group.ZONE else cell
 
     def healthy(self, engine: Engine, job: Job) -> bool:
         """An ill engine gets one short query at a time as a trial; distrusted verdicts bind nobody."""
         if not engine.ill or (self.distrust and not engine.silent):
             return True
-        if (
-            engine.out
-            or engine.probing
-            or self.now < engine.next_trial
-            or job.index not in self.trial_classes
-        ):
+        if engine.out or self.now < engine.next_trial or job.index not in self.trial_classes:
             return False
-        return self.exec_time(job) <= 2.0 * min(self.learned[i].latency for i in self.trial_classes)
+        return self.exec_time(job) <= 2.0 * min(self.learned[i].exec_time() for i in self.trial_classes)
+
+    def share(self) -> float:
+        """Own threads under full pressure: our part of what the ready engines run well."""
+        part = self.cores * SHARE_THREADS_PER_CORE / self.settings.gateways
+        return part + SHARE_CHANCE * math.sqrt(part)
+
+    def under_limit(self, job: Job) -> bool:
+        """Under the limit, to half a query; one counts those no longer than itself: a lane for the short."""
+        own, classes = self.learned[job.index].exec_time(), zip(self.class_threads, self.learned, strict=True)
+        out = sum(threads for threads, known in classes if threads and known.exec_time() <= own)
+        return not out or out + job.cls.threads / 2.0 <= self.limit
 
-    def share(self, engine: Engine) -> float:
-        return engine.cores * SHARE_THREADS_PER_CORE / self.settings.gateways
+    def warm_cores(self, engine: Engine) -> float:
+        return engine.cores * (1.0 - self.coldness(engine) * (1.0 - self.rules.cold_share))
 
     def load(self, engine: Engine) -> float:
-        """Own threads per core, a cold engine counted with the cores' worth it has."""
-        warm = 1.0 - self.coldness(engine) * (1.0 - self.rules.cold_share)
-        return engine.threads / (engine.cores * warm)
+        """Threads per core: own ones that are out or were lately kept busy, others' as far as told."""
+        own = engine.threads + engine.recent.read(self.now, HORIZON)
+        return (own + engine.told_threads) / self.warm_cores(engine)
+
+    def heavy(self, job: Job) -> bool:
+        """More work than the mean query: few queries, most of the work."""
+        return job.cls.is_load or self.work(job) > self.usual()[0]
+
+    def usual(self) -> tuple[float, float]:
+        """Work and worth of the mean query."""
+        count = max(1, sum(k.count for k in self.learned))
+        work = sum(k.count * k.work() for k in self.learned) / count
+        return work, sum(k.count * k.cls.value for k in self.learned) / count
 
     def fits(self, engine: Engine, job: Job) -> bool:
-        """Under its limit; a query on several threads must fit whole, so that short ones keep a lane."""
-        if not engine.threads:
-            return True
-        if engine.memory_size:
-            # Past the memory a query spills and does its work several times over: waiting is cheaper.
-            room = engine.memory_size * MEMORY_SHARE / self.settings.gateways - engine.memory
-            if self.terms(job)[0] > room:
+        """Whether the engine has room; past its memory a query spills and does its work several times."""
+        told, room = self.limits.peers, engine.cores * TOLD_THREADS_PER_CORE
+        if told and engine.threads + engine.told_threads + job.cls.threads / 2.0 > room and self.heavy(job):
+            return False
+        if engine.memory_size and (told or engine.memory):
+            room = engine.memory_size * (TOLD_MEMORY if told else MEMORY_SHARE / self.settings.gateways)
+            if self.terms(job)[0] > room - engine.memory - engine.told_memory:
                 return False
-        return engine.threads < engine.limit and engine.threads + job.cls.threads <= engine.limit + 1.0
+        return self.cold_room(engine, job)
+
+    def usable(self, job: Job, strict: bool) -> Iterator[Engine]:
+        """Engines in hash order that may be used; strict passes over those that had better be left out.
+
+        A load holds its group on its engine; a second one there would stand still and keep its memory. Loads
+        of other gateways may go untold, so each gateway has its own hash order for loads.
+        """
+        apart = job.cls.is_load or job.cls.waits_for_loads
+        for engine in self.order(job.tables, self.settings.position + 1 if job.cls.is_load else 0):
+            if strict and (engine.full > self.now - FULL_MEMORY or engine.id in job.avoid):
+                continue
+            if strict and apart and engine.loading(job.tables):
+                continue
+            if any(a.engine is engine and a.outcome is None for a in job.attempts):
+                continue
+            if self.allowed(engine, job) and self.healthy(engine, job) and self.fits(engine, job):
+                yield engine
 
     def place(self, job: Job) -> Engine | None:
         """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
-        usable = [e for e in self.order(job.tables) if self.allowed(e, job) and self.healthy(e, job)]
-        usable = [e for e in usable if e.id not in job.avoid] or usable
-        if job.cls.is_load or job.cls.waits_for_loads:
-            # A load holds its group on its engine; a second one there would stand still and keep its memory.
-            usable = [e for e in usable if not e.loading(job.tables)] or usable
-        free = [e for e in usable if self.fits(e, job) and self.cold_room(e, job)]
-        if not free:
+        if not self.cores or not self.under_limit(job):
             return None
-        everyone = self.ready()
-        mean = sum(e.threads for e in everyone) / sum(e.cores for e in everyone)
-        for first in range(max(1, len(free) - 1)):
-            best = min(free[first : first + 2], key=self.load)
-            if self.load(best) <= SPILL * mean + job.cls.threads / best.cores:
-                return best
-        return min(free, key=self.load)
+        threads, lately = self.threads + self.told.threads, self.recent.read(self.now, HORIZON)
+        query = self.work(job) / HORIZON
+        for strict in (True, False):
+            last = least = None
+            for engine in self.usable(job, strict):
+                best = engine if last is None else min(last, engine, key=self.load)
+                part = SPILL * self.warm_cores(best) / self.cores
+                spare = best.threads + best.told_threads <= part * threads + job.cls.threads
+                if last and spare and best.recent.read(self.now, HORIZON) <= part * lately + query:
+                    return best
+                least = best if least is None else min(least, best, key=self.load)
+                last = engine
+            if least is not None:
+                return least
+        return None
+
+    # --- what gateways tell each other ---
+
+    def tell(self, attempt: Attempt) -> None:
+        """Tell the others of heavy queries: few messages for most of the work."""
+        job, engine = attempt.job, attempt.engine
+        if not self.limits.peers or self.settings.gateways < 2 or not self.heavy(job):
+            return
+        self.next_told = attempt.told = (self.next_told + 1) % 256
+        span = TOLD_PATIENCE * self.work(job) / job.cls.threads * self.learned[job.index].best
+        share = attempt.grant / engine.memory_size if engine.memory_size else 0.0
+        what = (round(attempt.threads), job.cls.is_load, messages.tables_mark(job.tables))
+        start = messages.Message(attempt.told, *what, span, share, messages.engine_mark(engine.id))
+        self.actions.append(api.Tell(None, messages.encode(start)))
+
+    def on_peer(self, event: api.PeerMessage) -> None:
+        """Take in what another gateway told; anything odd or of an engine unknown here is ignored."""
+        message, sender = messages.decode(event.data), event.sender
+        if message is None or not 0 <= sender < SENDERS_MOST * self.settings.gateways:
+            return
+        self.told.forget((sender, message.number))  # ended, or the sender counts anew after a restart
+        engine = self.marks.get(message.engine)
+        if message.span and engine is not None and sender != self.settings.position:
+            self.told.add((sender, message.number), self.now + message.span, engine, message)
 
     # --- release and refusal ---
 
-    def turn(self, job: Job) -> bool:
-        """Rule 5: only the head of its key's queue may be sent, and only after the key's rest."""
-        if not job.cls.ordered or not job.key:
-            return True
-        if self.key_rest.get(job.key, -math.inf) <= self.now:
-            self.key_rest.pop(job.key, None)
-        return self.keys[job.key][0] is job and job.key not in self.key_rest
-
     def extra_allowed(self, job: Job) -> bool:
         """Rule 7: a sliding window over arrivals and further attempts, checked at each of the latter."""
         rules = self.rules
         if not job.attempts or rules.budget_free is None:
             return True
-        while self.taken and self.taken[0] <= self.now - rules.budget_window + self.settings.tick:
-            self.taken.popleft()
-        while self.extras and self.extras[0] < self.now - rules.budget_window - self.settings.tick:
-            self.extras.popleft()
-        return len(self.extras) + 1 <= rules.budget_free + rules.budget_ratio * len(self.taken)
+        taken = self.taken.count_since(self.now - rules.budget_window + self.settings.tick)
+        extras = self.extras.count_since(self.now - rules.budget_window - self.settings.tick)
+        return extras + 1 <= rules.budget_free + rules.budget_ratio * taken
 
-    def expired(self, job: Job) -> bool:
-        """Rule 2: no further send may help this request."""
-        if len(job.attempts) >= max(1, self.limits.max_attempts):
-            return True
+    def open(self, job: Job) -> bool:
+        """Rule 2: whether the request may go out again, as far as its earlier attempts are concerned."""
         first = job.first_maybe()
         if first is None or job.cls.effect is Effect.SAFE:
-            return False
-        return job.cls.effect is Effect.UNSAFE or self.now > first.sent + job.cls.key_ttl - TTL_MARGIN
+            return True
+        return job.cls.effect is Effect.KEYED and self.now <= first.sent + job.cls.key_ttl - TTL_MARGIN
+
+    def expired(self, job: Job) -> bool:
+        return len(job.attempts) >= max(1, self.limits.max_attempts) or not self.open(job)
 
     def lapsed(self, job: Job) -> bool:
         """The design's refusal: now + ExecTime passes the query's, the class's or the client's limit."""
         known = self.learned[job.index]
-        needed = known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0
         limit = min(job.deadline, job.limit - END_MARGIN)
         if self.blocked and job.cls.late_value < LATE_WORTH:
-            # Exception, while engines are at their limits (nothing is held otherwise): a class whose late
-            # answers earn next to nothing is limited by its aim, or a queue would make every answer late.
-            limit = min(limit, job.arrival + known.aim_time(job.cost))
-        return self.now + needed > limit
+            # Exception, while engines are full: a class whose late answers earn next to nothing is limited by
+            # its aim, or a queue would make every answer late.
+            stretch = job.cls.aim_stretch * known.work(job.cost) / job.cls.threads
+            limit = min(limit, job.arrival + job.cls.aim + stretch)
+        return self.now + (known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0) > limit
 
     def release(self) -> None:
         """Group EDF over the held queries, until none can be placed."""
         if self.now >= self.next_lapse:
             self.next_lapse = self.now + LAPSE_GAP
-            for job in [j for j in self.held if self.expired(j) or self.lapsed(j)]:
-                self.finish(job)
+            for job in [j for j in self.held.values() if self.expired(j) or self.lapsed(j)]:
+                if job.out:  # a second copy that finds no room: the first may still answer
+                    del self.held[job.id]
+                else:
+                    self.finish(job)
         self.blocked = False
-        waiting = [j for j in self.held if self.turn(j) and self.extra_allowed(j)]
+        self.told.forget_until(self.now)
+        waiting = [j for j in self.held.values() if self.turns.has(j, self.now) and self.extra_allowed(j)]
         waiting.sort(key=lambda j: (j.deadline, j.id))
         while waiting:
             first = waiting[0]
@@ -424,8 +424,7 @@
             engine = self.place(job)
             if engine is None:
                 self.blocked = True
-                # No room for this one is no room for the others of its class that may go anywhere; trying
-                # each of a long queue would cost far more than a gateway's processor.
+                # No room for others of its class either: trying each of a long queue costs far too much.
                 waiting = [j for j in waiting if j.index != job.index or j.attempts or job.attempts]
             elif self.extra_allowed(job):
                 self.send(job, engine)
@@ -433,40 +432,45 @@
     def terms(self, job: Job) -> tuple[float, int]:
         """Memory from learned need; priority by worth per second of work against the usual mix."""
         known, settings = self.learned[job.index], self.settings
-        grant = job.memory * known.need_ratio if job.memory else known.need * 1.1
-        largest = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
-        grant = min(grant, largest) if largest else grant
-        total = sum(k.count * k.work for k in self.learned)
-        worth = sum(k.count * k.cls.value for k in self.learned)
-        if not settings.priorities_heeded or not total or not worth:
+        grant = (known.need or NEED_SEED) * job.memory if job.memory else known.need * 1.1
+        if self.largest_grant:
+            grant = min(grant, self.largest_grant)
+        work, worth = self.usual()
+        if not settings.priorities_heeded or not work or not worth:
             return grant, 1
-        density = job.cls.value / max(1e-3, known.calm_time(job.cost) * job.cls.threads) / (worth / total)
+        density = job.cls.value / max(1e-3, known.work(job.cost) * known.best) / (worth / work)
         return grant, 3 if density >= 2.0 else 2 if density >= 1.0 else 1 if density >= 0.4 else 0
 
     def send(self, job: Job, engine: Engine) -> None:
-        now, known = self.now, self.learned[job.index]
+        now, work = self.now, self.work(job)
         grant, priority = self.terms(job)
         if self.settings.grants_heeded or self.settings.priorities_heeded:
             self.actions.append(api.SetTerms(job.id, grant if self.settings.grants_heeded else 0.0, priority))
-        attempt = Attempt(job, len(job.attempts), engine, now, min(job.cls.threads, engine.cores), grant)
+        threads = min(job.cls.threads, engine.cores)
+        attempt = Attempt(job, len(job.attempts), engine, now, threads, grant, heard=now)
         if job.attempts and self.rules.budget_free is not None:
             self.extras.append(now)
         if engine.ill:
             self.put_off_trial(engine)
         job.attempts.append(attempt)
         job.out += 1
-        job.held = False
-        self.held.remove(job)
+        self.held.pop(job.id, None)
         self.attempts[job.id, attempt.n] = engine.out[job.id, attempt.n] = attempt
-        engine.threads += attempt.threads
-        engine.memory += grant
-        engine.sent.append((now, known.work))
+        self.count(attempt, 1.0)
+        engine.recent.add(now, work, HORIZON)
+        self.recent.add(now, work, HORIZON)
+        engine.sent = [sent for sent in engine.sent if sent[0] > now - self.rules.cold_time]
+        engine.sent.append((now, work))
+        self.timer(now + self.patience(job), attempt)
         self.actions.append(api.Send(job.id, engine.id, max(1e-3, job.limit - END_MARGIN - now)))
+        self.tell(attempt)
 
-    def hold(self, job: Job) -> None:
-        if not job.held:
-            job.held = True
-            self.held.append(job)
+    def count(self, attempt: Attempt, sign: float) -> None:
+        """Keep the sums of own work that is out."""
+        attempt.engine.threads += sign * attempt.threads
+        attempt.engine.memory += sign * attempt.grant
+        self.threads += sign * attempt.threads
+        self.class_threads[attempt.job.index] += sign * attempt.threads
 
     def finish(self, job: Job, answer: bool = True) -> None:
         """End a request at once: refused where the rules let the client try again, failed otherwise."""
@@ -474,24 +478,22 @@
             return
         job.ended = True
         self.jobs.pop(job.id, None)
-        if job.held:
-            self.held.remove(job)
+        self.held.pop(job.id, None)
         if answer:
-            first, keyed = job.first_maybe(), job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
-            fresh = first is None or self.now <= first.sent + job.cls.key_ttl - TTL_MARGIN
-            if first is None or job.cls.effect is Effect.SAFE or (keyed and fresh):
+            alone = job.cls.effect is not Effect.SAFE and job.cls.group is not Group.ALL
+            if self.open(job) and not (alone and job.first_maybe()):
                 self.actions.append(api.Refuse(job.id, self.retry_after(job)))
             else:
                 self.actions.append(api.Fail(job.id))
         for attempt in job.attempts:
             if attempt.outcome is None:
                 self.cancel(attempt)
-        self.leave_key(job)
+        self.turns.leave(job)
 
     def retry_after(self, job: Job) -> float:
         """The time in which the work held here would drain, within what clients honour."""
-        cores = sum(e.cores for e in self.ready()) / self.settings.gateways
-        backlog = sum(self.exec_time(j) * j.cls.threads for j in self.held)
+        cores = self.cores / self.settings.gateways
+        backlog = sum(self.exec_time(j) * j.cls.threads for j in self.held.values())
         wait = backlog / cores if cores else math.inf
         return min(max(wait, self.exec_time(job)), self.limits.max_retry_after)
 
@@ -500,84 +502,68 @@
             attempt.cancelled = True
             self.actions.append(api.Cancel(attempt.job.id, attempt.n))
 
-    def leave_key(self, job: Job) -> None:
-        """Rule 5: a key moves on when its head has ended and no attempt's outcome is open."""
-        if not job.cls.ordered or not job.key or not job.ended or job.out:
-            return
-        if job in self.keys.get(job.key, ()):
-            self.keys[job.key].remove(job)
-            if not self.keys[job.key]:
-                del self.keys[job.key]
-
     # --- requests and outcomes ---
 
     def on_arrival(self, event: api.Arrival) -> None:
         index = min(event.cls, len(self.learned) - 1)
-        job = Job(event, self.settings.classes[index], self.now)
-        job.index = index
-        if job.cost:
-            self.learned[index].told_estimate(job.cost)
+        job = Job(event, index, self.settings.classes[index], self.now)
+        self.learned[index].estimate(job.cost, told=event.cost > 0.0)
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
         if self.rules.budget_free is not None:
             self.taken.append(self.now)
         self.jobs[job.id] = job
-        if job.cls.ordered and job.key:
-            self.keys.setdefault(job.key, deque()).append(job)
+        self.turns.join(job)
         self.timer(job.limit - END_MARGIN, job)
-        self.hold(job)
+        self.held[job.id] = job
 
     def on_ended(self, event: api.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
         if attempt is None:
             return
-        job, engine = attempt.job, attempt.engine
+        job, engine, outcome = attempt.job, attempt.engine, event.outcome
         del engine.out[event.request, event.attempt]
-        engine.threads -= attempt.threads
-        engine.memory -= attempt.grant
-        attempt.outcome = event.outcome
+        self.count(attempt, -1.0)
+        if attempt.told is not None:
+            self.actions.append(api.Tell(None, messages.encode(messages.Message(attempt.told))))
+        attempt.outcome = outcome
         job.out -= 1
-        unsure = event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
-        if unsure and job.cls.ordered and job.key:
-            self.key_rest[job.key] = self.now + self.rules.order_settle
-        if event.outcome is Outcome.MOOT and attempt.n and attempt.sent in self.extras:
+        if outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+            self.turns.rest(job, self.now + self.rules.order_settle)
+        if outcome is Outcome.MOOT and attempt.n and attempt.sent in self.extras:
             self.extras.remove(attempt.sent)
         suspected = max(engine.broke_at, engine.reborn_at)
-        if event.outcome is Outcome.OK and attempt.sent < suspected < self.now - SURVIVED:
+        if outcome is Outcome.OK and attempt.sent < suspected < self.now - SURVIVED:
             engine.broke_at = engine.reborn_at = -math.inf  # it kept what it had: a link broke, no process
-        self.judge(engine, event.outcome)
-        if event.outcome is Outcome.OK:
+        self.judge(engine, outcome)
+        if outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
-            crowd = self.learned[job.index].answered(job, elapsed, sane(event.work), sane(event.memory_mb))
-            self.feel(engine, crowd)
-        elif event.outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
-            self.feel(engine, PRESSED * 2.0)
+            known = self.learned[job.index]
+            self.feel(known.answered(job, elapsed, sane(event.work), sane(event.memory_mb)))
+        elif outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
+            self.feel(PRESSED * 2.0)
+            engine.full = self.now
         if job.ended:
-            self.leave_key(job)
-        elif event.final or event.outcome is Outcome.OK:
+            self.turns.leave(job)
+        elif event.final or outcome is Outcome.OK:
             self.finish(job, answer=False)
         elif not job.out:
-            if event.outcome is not Outcome.CANCELLED and engine.id not in job.avoid:
+            if outcome is not Outcome.CANCELLED and engine.id not in job.avoid:
                 job.avoid.append(engine.id)
             if self.expired(job) or job.streaming:
                 self.finish(job)
             else:
                 job.deadline = max(job.deadline, self.now + MULTIPLIER * self.exec_time(job))
-                self.hold(job)
-
-    def feel(self, engine: Engine, crowd: float) -> None:
-        """Pressure: the engine's limit falls towards the share while answers are late, and grows after."""
-        engine.crowd += FAIL_STEP * (min(crowd, 10.0) - engine.crowd)
-        share = self.share(engine)
-        if engine.crowd > PRESSED and self.now >= engine.last_cut + SHRINK_GAP:
-            engine.limit = max(share, min(engine.limit, engine.threads + 1.0) * SHRINK)
-            engine.last_cut = self.now
-        elif engine.crowd < RELAXED and engine.threads >= engine.limit - 4.0:
-            engine.limit += GROW
-
-    ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
-    SURVIVED = (
-        0.1  # seconds after a break at which an answer to earlier work is no longer one still on its way
-    )
+                self.held[job.id] = job
+
+    def feel(self, crowd: float) -> None:
+        """One limit over all engines falls towards the share while answers are late, and grows after."""
+        self.crowd += FAIL_STEP * (min(crowd, PRESSED * 2.0) - self.crowd)
+        if self.crowd > PRESSED and self.now >= self.last_cut + SHRINK_GAP:
+            self.limit = max(self.share(), min(self.limit, self.threads + 1.0) * SHRINK)
+            self.last_cut = self.now
+        elif self.crowd < RELAXED and self.threads >= self.limit / 2.0:
+            self.limit += GROW
+
     # --- health ---
 
     def judge(self, engine: Engine, outcome: Outcome) -> None:
@@ -588,73 +574,79 @@
                 engine.reborn_at, engine.broke_at = engine.broke_at, -math.inf
         if outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
             engine.broke_at = self.now
-            engine.fails += HARD_FAIL_STEP * (1.0 - engine.fails)
+            self.weigh(engine, HARD_FAIL_STEP, 1.0)
         elif outcome is Outcome.ERROR:  # a time-out says that time ran out, not that the engine failed
-            engine.fails += FAIL_STEP * (1.0 - engine.fails)
-        elif outcome is Outcome.OK:
-            # One answer disproves silence; a share of failures has to wear off.
-            engine.fails = 0.0 if engine.silent else engine.fails * (1.0 - FAIL_STEP)
+            self.weigh(engine, FAIL_STEP, 1.0)
+        elif outcome is Outcome.OK:  # one answer disproves silence; a share of failures has to wear off
+            self.weigh(engine, 1.0 if engine.silent else FAIL_STEP, 0.0)
         if not engine.ill and engine.fails > ILL:
             self.condemn(engine, "failing")
         elif engine.ill and outcome is Outcome.OK and engine.fails < WELL:
             engine.ill, engine.silent, engine.trial_gap = False, False, TRIAL_GAP
             self.log(f"engine {engine.id.hex()} answers again, back in use")
+            self.trust()
         elif engine.ill and outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
             engine.trial_gap = min(engine.trial_gap * 2.0, TRIAL_GAP_MOST)
             self.put_off_trial(engine)
-        self.trust()
+
+    def weigh(self, engine: Engine, least: float, failed: float) -> None:
+        """An outcome weighs more the longer nothing was known: one of many gateways hears seldom."""
+        fresh = 1.0 - math.exp(max(engine.judged - self.now, -1e3) / FAIL_MEMORY)
+        engine.fails += max(least, fresh) * (failed - engine.fails)
+        engine.judged = self.now
 
     def condemn(self, engine: Engine, why: str) -> None:
         engine.ill, engine.fails, engine.silent = True, 1.0, why == "silent"
         engine.trial_gap = TRIAL_GAP
         self.put_off_trial(engine)
         self.log(f"engine {engine.id.hex()} {why}, left alone but for trials")
+        self.trust()
 
     def put_off_trial(self, engine: Engine) -> None:
         """The next trial, spread by the seed so that gateways do not all try at once."""
         engine.next_trial = self.now + engine.trial_gap * self.random.uniform(0.8, 1.2)
 
     def trust(self) -> None:
-        everyone = self.ready()
-        distrust = sum(e.ill and not e.silent for e in everyone) > ILL_SHARE * len(everyone)
+        distrust = sum(e.ill and not e.silent for e in self.ready) > ILL_SHARE * len(self.ready)
         if distrust != self.distrust:
             self.distrust = distrust
             self.log("most engines look ill, verdicts ignored" if distrust else "verdicts hold again")
 
-    def look_for_silence(self) -> None:
-        """A busy engine with no word for long while others speak: take our work back from it.
+    def patience(self, job: Job) -> float:
+        """Seconds without a word after which an attempt counts as lost."""
+        if self.settings.note_period:
+            return SILENT_NOTES * self.settings.note_period
+        return max(SILENT_FLOOR, OVERDUE * self.exec_time(job)) * (1.0 if self.limits.second_copies else 2.0)
+
+    def look_after(self, attempt: Attempt) -> None:
+        """An attempt with no word for long: try elsewhere what may be tried.
 
-        Covers hangs, cut links and processes that died unseen. Without notes a long query is silent by
-        nature, so one of the attempts must also be far over its own ExecTime. Harmful if a jam looks like
-        silence: hence no verdict when half of the busy engines are quiet or, where even a jam sends notes,
-        when all are.
+        Covers lost answers, hangs, cut links and processes that died unseen, at the first attempt they meet.
+        Without notes a long query is silent by nature: a second copy leaves the first its chance. Harmful if
+        a jam looks like silence: hence no copies under pressure.
         """
-        patience = max(SILENT_FLOOR, SILENT_NOTES * self.settings.note_period)
-        busy = [e for e in self.engines.values() if e.out]
-        quiet = [e for e in busy if self.now - max(e.heard, min(a.sent for a in e.out.values())) > patience]
-        most = len(busy) - 1 if self.settings.note_period else max(len(busy), 2) // 2
-        if len(quiet) > most:
+        job, engine, noted = attempt.job, attempt.engine, self.settings.note_period > 0.0
+        if attempt.outcome is not None or attempt.cancelled or job.ended or job.streaming:
             return
-        for engine in quiet:
-            outs = list(engine.out.values())
-            overdue = [a for a in outs if self.now - a.sent > max(patience, OVERDUE * self.exec_time(a.job))]
-            if not self.settings.note_period and not overdue:
-                continue
-            if not engine.ill:
+        due = attempt.heard + self.patience(job)
+        if due > self.now + 1e-6:
+            self.timer(due, attempt)
+            return
+        engine.full = self.now
+        if noted and engine.heard < attempt.sent and not engine.ill:
+            self.weigh(engine, HARD_FAIL_STEP, 1.0)
+            if engine.fails > ILL:
                 self.condemn(engine, "silent")
-                self.trust()
-            for attempt in outs:
-                if self.may_repeat(attempt.job):
-                    self.cancel(attempt)
+        if not self.may_repeat(job) or self.now + self.exec_time(job) > job.limit:
+            return
+        if noted or not self.limits.second_copies:
+            self.cancel(attempt)
+        elif self.crowd < PRESSED and job.out < 2:
+            self.held[job.id] = job
 
     def may_repeat(self, job: Job) -> bool:
-        """Whether another attempt could follow a cancel of the one that is out."""
-        capped = len(job.attempts) >= self.limits.max_attempts
-        if job.ended or job.streaming or capped or not self.extra_allowed(job):
-            return False
-        if job.cls.effect is Effect.KEYED:
-            return job.cls.group is Group.ALL and not self.expired(job)
-        return job.cls.effect is Effect.SAFE
+        """Whether another attempt could follow the one that is out."""
+        return not (job.ended or job.streaming or self.expired(job)) and self.extra_allowed(job)
 
     # --- notes ---
 
@@ -662,59 +654,62 @@
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None:
             return
-        attempt.engine.heard = self.now
+        attempt.heard = attempt.engine.heard = self.now
         if event.kind is NoteKind.PROGRESS:
             self.check_plan(attempt, sane(event.amount, 0.0, 1.0))
+        elif event.kind is NoteKind.WAITING and event.amount >= 1.0:
+            self.move_on(attempt)
+
+    def move_on(self, attempt: Attempt) -> None:
+        """It waits in the engine's line, so nothing is lost by a try elsewhere while some engine has room.
+
+        The note tells of all gateways' load: the engine is left out for a moment. Covers memory taken up and
+        loads in the way. Harmful if a place far up a line is lost: once an engine, never with the last try.
+        """
+        job, engine = attempt.job, attempt.engine
+        engine.full = self.now
+        if attempt.cancelled or not self.may_repeat(job):
+            return
+        job.avoid.append(engine.id)
+        if next(self.usable(job, strict=True), None) is not None:
+            self.cancel(attempt)
 
     def check_plan(self, attempt: Attempt, done: float) -> None:
         """Bad plan: progress far behind the estimate, so that a fresh run is expected to end much sooner.
 
-        Also catches a query stuck on one slow engine. If the query itself is long (RERUNS), it is given up
-        when it cannot end in time, or while others wait for room: its worth for its work is the least there
-        is. Harmful where long queries matter more than their worth says.
+        Also catches a query stuck on one slow engine. If a second run is as slow, the query itself is long:
+        it is given up when it cannot end in time, or while others wait for room, since its worth for its work
+        is the least there is. Harmful where long queries matter more than their worth says.
         """
         job, spent = attempt.job, self.now - attempt.sent
-        fresh = self.exec_time(job)
-        remainder = spent * (1.0 - done) / max(done, 1e-3)
+        fresh, remainder = self.exec_time(job), spent * (1.0 - done) / max(done, 1e-3)
         if attempt.cancelled or job.ended or job.streaming or remainder <= BEHIND * fresh:
             return
-        if job.reruns < RERUNS and self.may_repeat(job) and self.now + fresh < job.limit:
-            job.reruns += 1
+        hopeless = remainder > HOPELESS * (job.limit - self.now)
+        if not job.rerun and self.may_repeat(job) and self.now + fresh < job.limit:
+            job.rerun = True
             self.cancel(attempt)
-        elif job.cls.effect is Effect.SAFE and (
-            self.blocked or self.now + remainder > job.limit + HOPELESS * (job.limit - self.now)
-        ):
+        elif job.cls.effect is Effect.SAFE and (self.blocked or hopeless):
             self.finish(job)
 
     # --- the batch ---
 
     def on_timer(self, event: api.TimerFired) -> None:
-        if event.token not in self.timers:
-            return
-        if job := self.timers.pop(event.token):
-            if not job.streaming:
-                self.finish(job)
-            return
-        self.look_for_silence()
-        if self.settings.ask_for_list and not self.asked and self.now >= self.next_ask:
-            self.asked = True
+        whom = self.timers.pop(event.token, None)
+        if isinstance(whom, Attempt):
+            self.look_after(whom)
+        elif whom is not None and not whom.streaming:
+            self.finish(whom)
+
+    def keep_house(self) -> None:
+        """Ask for the list, and wake again only while something is due: many gateways are idle."""
+        asking = self.settings.ask_for_list and not self.asked
+        if asking and self.now >= self.next_ask:
+            self.asked, asking = True, False
             self.actions.append(api.Subscribe(True))
-        if self.limits.probing:
-            self.probe_ill()
-        self.timer(self.now + HOUSEKEEPING, None)
-
-    def probe_ill(self) -> None:
-        for engine in self.ready():
-            if engine.ill and not engine.probing and self.now >= engine.next_trial and not engine.out:
-                engine.probing = True
-                self.actions.append(api.Probe(engine.id))
-
-    def on_probe(self, event: api.ProbeResult) -> None:
-        engine = self.engines.get(event.engine)
-        if engine is not None and engine.probing:
-            engine.probing = False
-            engine.next_trial = self.now
-            self.judge(engine, event.outcome)
+        if (self.held or asking) and self.wake <= self.now:
+            self.wake = self.now + HOUSEKEEPING
+            self.timer(self.wake, None)
 
     def on_gone(self, event: api.ClientGone) -> None:
         if event.request in self.jobs:
@@ -728,10 +723,9 @@
         """Take in a whole batch, then release once, so that queries arriving together compete by deadline."""
         self.now = now
         self.actions = []
-        if not self.timers:  # the first step; housekeeping renews its own timer ever after
-            self.timer(now + HOUSEKEEPING, None)
         for event in events:
             if handler := self.handlers.get(type(event)):
                 handler(event)
         self.release()
+        self.keep_house()
         return self.actions
