--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -3,8 +3,7 @@
 Read it from `Gateway.step` at the bottom upwards. The ordinary path is group EDF: a query's deadline is its
 arrival plus MULTIPLIER x ExecTime; while own work is under its share, the earliest deadline names a group and
 its smallest query leaves first, to the less loaded of the first two engines in its table group's hash order.
-A held query whose time has lapsed is refused. The rest guards the rules or copes with trouble. A gateway may
-be one of two or of hundreds: a part of an engine can be less than one query, and no code asks which it is.
+A held query whose time has lapsed is refused. The rest guards the rules or copes with trouble.
 """
 
 from __future__ import annotations
@@ -33,20 +32,16 @@
 DECAY = 0.97  # per answer, of what is learned: a handful of seconds of one class's traffic
 BEST_DRIFT = 0.002  # how fast the best latency forgets: far slower than a jam, or a jam becomes the norm
 EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
-NEED_SEED = 1.25  # memory needed over memory told until answers tell
-NEED_UP, NEED_DOWN = 0.15, 0.02  # steps of the memory needed, a high quantile: a spill costs more than spare
+NEED_SEED, NEED_UP, NEED_DOWN = 1.25, 0.15, 0.02  # memory needed over told: a high quantile, a spill is dear
 # --- pressure ---
-PRESSED = 4.0  # latency over this x the best seen is pressure: the knee is passed, queries wait
-RELAXED = 2.5  # under this x the best the limit grows again; the gap to PRESSED keeps it from flapping
-SHRINK, GROW = 0.85, 0.5  # the limit shrinks by a factor and grows by threads, as congestion control does
-SHRINK_GAP = 0.3  # seconds between two cuts: one crowd is one cut, its answers come in a bunch
+PRESSED, RELAXED = 4.0, 2.5  # latency over the best: pressure, queries wait; and the limit grows again
+SHRINK, SHRINK_GAP, GROW = 0.85, 0.3, 0.5  # factor of a cut, seconds between cuts, threads of growth
 FULL_MEMORY = 1.0  # seconds that an engine where a query had to wait is left out
 # --- guards ---
 COLD_MARGIN = 0.85  # use only this share of a cold engine's budget: a query's work is but estimated
 COLD_CHANCE = 0.5  # the same where a part is less than a query: those of many gateways meet by chance
 COLD_LARGEST = 0.1  # largest query for a cold engine, of its budget: a few of them must not fill it by chance
-END_MARGIN = 0.03  # answer this long before the client's time ends; covers a few ticks of delay
-TTL_MARGIN = 0.25  # a keyed repeat leaves this long before its window closes: it must arrive inside it
+END_MARGIN, TTL_MARGIN = 0.03, 0.25  # seconds before a client's, a key's time ends: what leaves must arrive
 LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
 HOUSEKEEPING = 0.05  # seconds between wakes while queries are held or the list is to be asked for
 ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
@@ -57,6 +52,7 @@
 ILL, WELL = 0.5, 0.2  # failure share at which an engine is left alone, and under which it is back
 ILL_SHARE = 0.5  # with more than this share of engines ill the verdict is distrusted: the cause is elsewhere
 TRIAL_GAP, TRIAL_GAP_MOST = 0.4, 3.0  # seconds between trials of an ill engine; doubled while trials fail
+TRIAL_SHARE, TRIAL_CREDIT = 0.2, 3.0  # trials per send, and at once: many ill engines must not take all
 SILENT_NOTES = 1.4  # note periods without a word of an attempt before it counts as lost
 OVERDUE, SILENT_FLOOR = 5.0, 0.5  # without notes: this x its ExecTime, and at least this many seconds
 BEHIND = 4.0  # cancel when the remainder would take this x a fresh run: far outside the usual scatter
@@ -64,8 +60,12 @@
 # --- what gateways tell each other ---
 TOLD_THREADS_PER_CORE = 2.0  # own and told threads past which heavy queries wait; the design's value
 TOLD_MEMORY = 0.85  # of an engine's memory that own and told grants may fill; the rest is for untold queries
+HEAVY = 2.0  # a query of more than this x the mean work is told: each message costs all gateways time
+TOLD_MOST = 256  # told queries open at once, loads apart: taking in more would cost too much time
 TOLD_PATIENCE = 3.0  # what has no end told counts for this x its expected span: a message may be lost
 SENDERS_MOST = 2  # senders up to this x the gateway count are known: it may be a little out of date
+NEWS = (api.PeerMessage, api.Note)  # held queries do not look for room at each: the next wake is near
+
 
 class Learned:
     """What the answers of one class have taught. Where no estimates are told, each counts as 1."""
@@ -152,6 +152,7 @@
         self.turns = Turns()  # rule 5
         self.taken, self.extras = Window(), Window()  # rule 7: arrivals and further attempts
         self.distrust = self.asked = False
+        self.trial_credit = TRIAL_CREDIT
         self.blocked = False  # the last release left a query for want of room
         self.next_lapse = self.next_ask = -math.inf
         self.handlers = {
@@ -174,7 +175,7 @@
         return self.learned[job.index].exec_time(job.cost)
 
     def work(self, job: Job) -> float:
-        """Work to reckon with: the class's mean, or the told estimate where that is more."""
+        """The class's mean, or the told estimate where that is more."""
         return max(self.learned[job.index].work(), self.learned[job.index].work(job.cost))
 
     # --- the engine list (rules 3 and 4) ---
@@ -223,9 +224,9 @@
     def cold_room(self, engine: Engine, job: Job) -> bool:
         """Rule 4: our part of a cold engine's budget, whatever becomes of the work sent.
 
-        A part can be far less than one query. A gateway then sends whole queries as far apart as its part
-        asks, the first after a share of that gap drawn by its seed: together they send what the parts allow.
-        Covers rolls, crashes, lost rooms. Harmful where a class's work is far above what was learned.
+        Where a part is less than a query, whole ones leave as far apart as it asks, the first after a share
+        of that gap drawn by the seed: all gateways together send what the parts allow. Covers rolls, crashes,
+        lost rooms. Harmful where a class's work is far above what was learned.
         """
         rules, work, now = self.rules, self.work(job), self.now
         if not rules.fall_multiple or not self.coldness(engine):
@@ -267,15 +268,15 @@
             return True
         if engine.out or self.now < engine.next_trial or job.index not in self.trial_classes:
             return False
-        return self.exec_time(job) <= 2.0 * min(self.learned[i].exec_time() for i in self.trial_classes)
+        short = self.exec_time(job) <= 2.0 * min(self.learned[i].exec_time() for i in self.trial_classes)
+        return short and self.trial_credit >= 1.0 and not job.attempts
 
     def share(self) -> float:
         """Own threads under full pressure: our part of what the ready engines run well."""
         part = self.cores * SHARE_THREADS_PER_CORE / self.settings.gateways
         return part + SHARE_CHANCE * math.sqrt(part)
 
-    def under_limit(self, job: Job) -> bool:
-        """Under the limit, to half a query; one counts those no longer than itself: a lane for the short."""
+    def under_limit(self, job: Job) -> bool:  # to half a query; none counts longer ones: a lane for the short
         own, classes = self.learned[job.index].exec_time(), zip(self.class_threads, self.learned, strict=True)
         out = sum(threads for threads, known in classes if threads and known.exec_time() <= own)
         return not out or out + job.cls.threads / 2.0 <= self.limit
@@ -289,8 +290,8 @@
         return (own + engine.told_threads) / self.warm_cores(engine)
 
     def heavy(self, job: Job) -> bool:
-        """More work than the mean query: few queries, most of the work."""
-        return job.cls.is_load or self.work(job) > self.usual()[0]
+        """Far more work than the mean query: few queries, most of the work."""
+        return job.cls.is_load or self.work(job) > HEAVY * self.usual()[0]
 
     def usual(self) -> tuple[float, float]:
         """Work and worth of the mean query."""
@@ -349,9 +350,9 @@
     # --- what gateways tell each other ---
 
     def tell(self, attempt: Attempt) -> None:
-        """Tell the others of heavy queries: few messages for most of the work."""
         job, engine = attempt.job, attempt.engine
-        if not self.limits.peers or self.settings.gateways < 2 or not self.heavy(job):
+        many = len(self.told.entries) >= TOLD_MOST and not job.cls.is_load
+        if many or not self.limits.peers or not self.heavy(job):
             return
         self.next_told = attempt.told = (self.next_told + 1) % 256
         span = TOLD_PATIENCE * self.work(job) / job.cls.threads * self.learned[job.index].best
@@ -375,11 +376,10 @@
     def extra_allowed(self, job: Job) -> bool:
         """Rule 7: a sliding window over arrivals and further attempts, checked at each of the latter."""
         rules = self.rules
-        if not job.attempts or rules.budget_free is None:
-            return True
         taken = self.taken.count_since(self.now - rules.budget_window + self.settings.tick)
         extras = self.extras.count_since(self.now - rules.budget_window - self.settings.tick)
-        return extras + 1 <= rules.budget_free + rules.budget_ratio * taken
+        free = not job.attempts or rules.budget_free is None
+        return free or extras + 1 <= rules.budget_free + rules.budget_ratio * taken
 
     def open(self, job: Job) -> bool:
         """Rule 2: whether the request may go out again, as far as its earlier attempts are concerned."""
@@ -396,8 +396,7 @@
         known = self.learned[job.index]
         limit = min(job.deadline, job.limit - END_MARGIN)
         if self.blocked and job.cls.late_value < LATE_WORTH:
-            # Exception, while engines are full: a class whose late answers earn next to nothing is limited by
-            # its aim, or a queue would make every answer late.
+            # Exception while engines are full: where late answers earn nothing, the aim is the limit.
             stretch = job.cls.aim_stretch * known.work(job.cost) / job.cls.threads
             limit = min(limit, job.arrival + job.cls.aim + stretch)
         return self.now + (known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0) > limit
@@ -448,10 +447,12 @@
             self.actions.append(api.SetTerms(job.id, grant if self.settings.grants_heeded else 0.0, priority))
         threads = min(job.cls.threads, engine.cores)
         attempt = Attempt(job, len(job.attempts), engine, now, threads, grant, heard=now)
-        if job.attempts and self.rules.budget_free is not None:
+        if job.attempts:
             self.extras.append(now)
+        self.trial_credit = min(TRIAL_CREDIT, self.trial_credit + TRIAL_SHARE)
         if engine.ill:
             self.put_off_trial(engine)
+            self.trial_credit -= 1.0
         job.attempts.append(attempt)
         job.out += 1
         self.held.pop(job.id, None)
@@ -509,8 +510,7 @@
         job = Job(event, index, self.settings.classes[index], self.now)
         self.learned[index].estimate(job.cost, told=event.cost > 0.0)
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
-        if self.rules.budget_free is not None:
-            self.taken.append(self.now)
+        self.taken.append(self.now)
         self.jobs[job.id] = job
         self.turns.join(job)
         self.timer(job.limit - END_MARGIN, job)
@@ -607,9 +607,9 @@
         engine.next_trial = self.now + engine.trial_gap * self.random.uniform(0.8, 1.2)
 
     def trust(self) -> None:
-        distrust = sum(e.ill and not e.silent for e in self.ready) > ILL_SHARE * len(self.ready)
-        if distrust != self.distrust:
-            self.distrust = distrust
+        before, ill = self.distrust, sum(e.ill and not e.silent for e in self.ready)
+        self.distrust = distrust = ill > ILL_SHARE * len(self.ready)
+        if distrust != before:
             self.log("most engines look ill, verdicts ignored" if distrust else "verdicts hold again")
 
     def patience(self, job: Job) -> float:
@@ -637,6 +637,9 @@
             self.weigh(engine, HARD_FAIL_STEP, 1.0)
             if engine.fails > ILL:
                 self.condemn(engine, "silent")
+                for other in engine.out.values():  # what has had no word there will hardly get one
+                    if other.heard <= other.sent and self.may_repeat(other.job):
+                        self.cancel(other)
         if not self.may_repeat(job) or self.now + self.exec_time(job) > job.limit:
             return
         if noted or not self.limits.second_copies:
@@ -645,11 +648,8 @@
             self.held[job.id] = job
 
     def may_repeat(self, job: Job) -> bool:
-        """Whether another attempt could follow the one that is out."""
         return not (job.ended or job.streaming or self.expired(job)) and self.extra_allowed(job)
 
-    # --- notes ---
-
     def on_note(self, event: api.Note) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None:
@@ -668,11 +668,10 @@
         """
         job, engine = attempt.job, attempt.engine
         engine.full = self.now
-        if attempt.cancelled or not self.may_repeat(job):
-            return
-        job.avoid.append(engine.id)
-        if next(self.usable(job, strict=True), None) is not None:
-            self.cancel(attempt)
+        if not attempt.cancelled and self.may_repeat(job):
+            job.avoid.append(engine.id)
+            if next(self.usable(job, strict=True), None) is not None:
+                self.cancel(attempt)
 
     def check_plan(self, attempt: Attempt, done: float) -> None:
         """Bad plan: progress far behind the estimate, so that a fresh run is expected to end much sooner.
@@ -726,6 +725,7 @@
         for event in events:
             if handler := self.handlers.get(type(event)):
                 handler(event)
-        self.release()
+        if self.held and any(type(event) not in NEWS for event in events):
+            self.release()
         self.keep_house()
         return self.actions
