--- /dev/null
+++ b/tests/test_many_gateways.py
@@ -0,0 +1,240 @@
+"""One form of each mechanism for few and many gateways: what one alone keeps must hold for the sum of all."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+from conftest import LOOKUP, REPORT, Driver, engine_id, make_settings, one_class
+
+from saffronlane import interface as api
+from saffronlane import messages, rules
+from saffronlane.interface import EngineState, ListMode, NoteKind, Outcome
+
+GATEWAYS, ENGINES, WORK, WINDOW = 200, 40, 0.3, 1.5
+COLD = api.Guarantees(fall_multiple=3.0, fall_window=WINDOW, cold_share=0.35, cold_time=14.0)
+COLD_BUDGET = 3.0 * 0.35 * 8.0 * WINDOW
+PEERS = api.Limits(cancel=True, max_attempts=4, peers=True)
+
+
+def many(count: int = GATEWAYS, engines: int = ENGINES, **changes: object) -> list[Driver]:
+    """Drivers of the gateways of one deployment, which have learned 0.3 s of work and latency."""
+    drivers = []
+    for position in range(count):
+        plain = make_settings(gateways=count, position=position, **changes)
+        driver = Driver(plain, engines=engines, seed=position, now=100.0)
+        for _ in range(12):
+            driver.end(driver.ask(tables=float(position % 50)), Outcome.OK, work=WORK, elapsed=WORK)
+        drivers.append(driver)
+    return drivers
+
+
+def test_two_hundred_gateways_use_a_cold_fleet_and_keep_its_budget_together() -> None:
+    """Guards rule 4 as the sum over all gateways; fails when the sum passes the budget or nothing is sent."""
+    drivers, random = many(guarantees=COLD), Random(5)
+    entries = [api.EngineEntry(engine_id(i), EngineState.READY, started=120.0) for i in range(ENGINES)]
+    sent: dict[bytes, list[float]] = {engine_id(i): [] for i in range(ENGINES)}
+    for driver in drivers:
+        driver.now = 120.0
+        driver.list(entries, ListMode.DELTA)
+    for tick in range(60):  # 6 s, more queries than a cold fleet can take
+        for driver in drivers:
+            driver.now = 120.0 + tick / 10.0
+            before = len(driver.sends())
+            driver.ask(tables=float(random.randrange(80)))
+            for send in driver.sends()[before:]:
+                sent[send.engine].append(driver.now)
+                driver.end(send.request, Outcome.OK, work=WORK, elapsed=WORK)
+    for times in sent.values():
+        assert len(times) >= 10, "a cold engine is not used"
+        most = max(sum(at <= other < at + WINDOW for other in times) for at in times)
+        assert most * WORK <= COLD_BUDGET
+
+
+def test_large_queries_do_not_gamble_on_a_cold_engine() -> None:
+    driver = many(1, engines=1, guarantees=COLD, classes=(LOOKUP, REPORT))[0]
+    driver.gateway.settings = replace(driver.gateway.settings, gateways=GATEWAYS)
+    driver.list([api.EngineEntry(engine_id(0), EngineState.READY, started=driver.now)], ListMode.DELTA)
+    driver.now += 13.0
+    assert not driver.sends(driver.ask(cls=1))
+
+
+def test_one_gateway_and_forty_engines_place_at_home_and_spread_under_load() -> None:
+    driver = many(1)[0]
+    home = [e.id for e in driver.gateway.order(3.0)[:2]]
+    assert driver.sends(driver.ask(tables=3.0))[0].engine in home
+    used = {driver.sends(driver.ask(tables=3.0))[0].engine for _ in range(60)}
+    assert len(used) > 10
+
+
+def test_a_hot_group_leaves_its_first_engine_though_nothing_is_out_from_here() -> None:
+    """Own threads are 0 at one of many gateways; what was sent of late must count as load."""
+    driver = many(1)[0]
+    engines = []
+    for i in range(200):
+        driver.now += 0.4
+        request = driver.ask(tables=3.0 if i % 4 else float(i))
+        engines.append(driver.sends(request)[0].engine)
+        driver.end(request, Outcome.OK, work=WORK, elapsed=0.01)
+    hot = [engine for i, engine in enumerate(engines) if i % 4]
+    assert max(hot.count(engine) for engine in set(hot)) < 0.7 * len(hot)
+
+
+def test_a_gateway_whose_part_is_below_one_query_still_holds_under_pressure() -> None:
+    driver = many(1, classes=one_class(late_value=0.5))[0]
+    driver.gateway.settings = replace(driver.gateway.settings, gateways=GATEWAYS)
+    for _ in range(60):
+        driver.end(driver.ask(), Outcome.OK, work=WORK, elapsed=3.0)
+        driver.now += 0.4
+    requests = [driver.ask() for _ in range(12)]
+    sent = [request for request in requests if driver.sends(request)]
+    assert 1 <= len(sent) < len(requests)
+
+
+def test_nothing_is_held_while_answers_are_quick() -> None:
+    driver = many(1)[0]
+    assert all(driver.sends(driver.ask(tables=float(i))) for i in range(300))
+
+
+def test_an_attempt_that_waits_in_line_moves_to_another_engine_once() -> None:
+    driver = Driver(make_settings(note_period=1.0), engines=3)
+    request = driver.ask()
+    first = driver.sends(request)[0].engine
+    driver.step(api.Note(request, 0, first, NoteKind.WAITING, 1.0))
+    assert driver.of_kind(api.Cancel, request) == [api.Cancel(request, 0)]
+    driver.end(request, Outcome.CANCELLED, elapsed=0.01)
+    assert driver.sends(request)[1].engine != first
+
+
+def test_a_lost_answer_is_tried_elsewhere_long_before_the_client_leaves() -> None:
+    driver = Driver(make_settings(note_period=1.0), engines=4)
+    request = driver.ask(remaining=5.0)
+    driver.pass_time(driver.now + 1.6)
+    assert driver.of_kind(api.Cancel, request)
+    driver.end(request, Outcome.CANCELLED, elapsed=1.4)
+    assert driver.sends(request)[0].engine != driver.sends(request)[1].engine
+
+
+def test_a_second_copy_leaves_the_first_its_chance_where_copies_are_allowed() -> None:
+    driver = Driver(make_settings(limits=replace(PEERS, peers=False, second_copies=True)), engines=4)
+    for _ in range(30):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
+    request = driver.ask()
+    driver.pass_time(driver.now + 1.0)
+    assert len({send.engine for send in driver.sends(request)}) == 2
+    assert not driver.of_kind(api.Cancel, request)
+    driver.end(request, Outcome.OK, attempt=1)
+    assert driver.of_kind(api.Cancel, request) == [api.Cancel(request, 0)]
+
+
+def test_trials_of_many_dead_engines_do_not_take_all_queries() -> None:
+    driver = many(1)[0]
+    dead = list(driver.gateway.engines.values())[:15]
+    for engine in dead:
+        driver.gateway.condemn(engine, "failing")
+    trials = 0
+    for i in range(100):
+        driver.now += 0.5
+        request = driver.ask(tables=float(i))
+        trial = driver.sends(request)[0].engine in {engine.id for engine in dead}
+        trials += trial
+        driver.end(request, Outcome.CONNECT_FAILED if trial else Outcome.OK, work=WORK, elapsed=WORK)
+    assert 0 < trials <= 30  # a fifth of the sends, repeats included, and the first few
+
+
+# --- what gateways tell each other ---
+
+
+def telling(position: int) -> Driver:
+    heavy = (LOOKUP, replace(REPORT, is_load=True))
+    driver = Driver(make_settings(gateways=3, position=position, limits=PEERS, classes=heavy), engines=6)
+    for _ in range(20):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
+    return driver
+
+
+def test_a_told_load_keeps_a_second_one_of_its_group_away_until_its_end_is_told() -> None:
+    sender, receiver = telling(0), telling(1)
+    request = sender.ask(cls=1, tables=4.0)
+    for told in sender.of_kind(api.Tell):
+        receiver.step(api.PeerMessage(0, told.data))
+    engine = receiver.gateway.engines[sender.sends(request)[0].engine]
+    assert engine.loading(4.0) and engine.told_threads == REPORT.threads
+    before = len(sender.of_kind(api.Tell))
+    sender.end(request, Outcome.OK, work=2.0, elapsed=1.0)
+    for told in sender.of_kind(api.Tell)[before:]:
+        receiver.step(api.PeerMessage(0, told.data))
+    assert not engine.loading(4.0) and engine.told_threads == 0.0
+
+
+def test_short_queries_are_not_told() -> None:
+    driver = telling(0)
+    before = len(driver.of_kind(api.Tell))
+    driver.ask()
+    assert len(driver.of_kind(api.Tell)) == before
+
+
+def test_told_work_without_an_end_is_forgotten() -> None:
+    sender, receiver = telling(0), telling(1)
+    sender.ask(cls=1)
+    for told in sender.of_kind(api.Tell):
+        receiver.step(api.PeerMessage(0, told.data))
+    assert receiver.gateway.told.threads > 0.0
+    receiver.now += 120.0
+    receiver.ask()
+    assert receiver.gateway.told.threads == 0.0
+
+
+START = messages.encode(messages.Message(1, 4, True, 7, 2.0, 0.5, messages.engine_mark(engine_id(0))))
+
+
+@pytest.mark.parametrize(
+    ("sender", "data"),
+    [
+        (0, b""), (0, START[:-1]), (0, START + b"x"), (0, b"\xff" * 256), (10**6, START),
+        (0, bytes([START[0] ^ 0xE0]) + START[1:]), (0, START[:-3] + b"\0\0\0"), (1, START),
+    ],
+)  # fmt: skip
+def test_odd_messages_teach_nothing(sender: int, data: bytes) -> None:
+    driver = telling(1)
+    driver.step(api.PeerMessage(sender, data))
+    assert driver.gateway.told.threads == 0.0 and not driver.gateway.told.entries
+
+
+def test_a_replayed_message_counts_once() -> None:
+    driver = telling(1)
+    for _ in range(5):
+        driver.step(api.PeerMessage(0, START))
+    assert driver.gateway.told.threads == 4.0
+
+
+@pytest.mark.parametrize("report", [(), (1.0,), (math.nan,) * 4, (1e30, -5.0, math.inf, 0.0, 7.0)])
+def test_odd_reports_are_ignored(report: tuple[float, ...]) -> None:
+    columns = ("active", "waiting", "x0", "x1")
+    driver = Driver(make_settings(report_columns=columns))
+    for _ in range(20):
+        driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1, report=report)
+    assert driver.sends(driver.ask())
+
+
+@pytest.mark.parametrize("position", [-1, 3, 10**6])
+def test_a_position_outside_the_gateways_breaks_nothing(position: int) -> None:
+    driver = Driver(make_settings(gateways=3, position=position, guarantees=COLD, limits=PEERS))
+    assert driver.sends(driver.ask())
+
+
+def test_hundreds_of_engines_all_cold_in_one_cell_are_ordinary() -> None:
+    driver = Driver(make_settings(guarantees=COLD), engines=0)
+    ids = [bytes([10, 1, i // 256, i % 256, 0, 1]) for i in range(400)]
+    driver.list([api.EngineEntry(e, EngineState.READY, started=driver.now, cell=1) for e in ids])
+    assert driver.sends(driver.ask())
+
+
+def test_no_two_constants_of_the_module_share_a_name() -> None:
+    lines = [line.split("#")[0].split(" = ") for line in Path(rules.__file__).read_text().splitlines()]
+    names = [name for parts in lines if len(parts) > 1 for name in parts[0].strip().split(", ")]
+    constants = [name for name in names if name.isupper()]
+    assert len(constants) > 20 and len(constants) == len(set(constants))
