--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -53,7 +53,7 @@
 ILL_SHARE = 0.5  # with more than this share of engines ill the verdict is distrusted: the cause is elsewhere
 TRIAL_GAP, TRIAL_GAP_MOST = 0.4, 3.0  # seconds between trials of an ill engine; doubled while trials fail
 TRIAL_SHARE, TRIAL_CREDIT = 0.2, 3.0  # trials per send, and at once: many ill engines must not take all
-SILENT_NOTES = 1.4  # note periods without a word of an attempt before it counts as lost
+SILENT_NOTES = 1.1  # note periods without a word, and up to one more of calm run, until an attempt is lost
 OVERDUE, SILENT_FLOOR = 5.0, 0.5  # without notes: this x its ExecTime, and at least this many seconds
 BEHIND = 4.0  # cancel when the remainder would take this x a fresh run: far outside the usual scatter
 HOPELESS = 1.5  # progress is rough: give up only if the remainder is this x the time that is left
@@ -614,8 +614,8 @@
 
     def patience(self, job: Job) -> float:
         """Seconds without a word after which an attempt counts as lost."""
-        if self.settings.note_period:
-            return SILENT_NOTES * self.settings.note_period
+        if period := self.settings.note_period:
+            return SILENT_NOTES * period + min(period, self.learned[job.index].calm_time(job.cost))
         return max(SILENT_FLOOR, OVERDUE * self.exec_time(job)) * (1.0 if self.limits.second_copies else 2.0)
 
     def look_after(self, attempt: Attempt) -> None:
