--- a/saffronlane/benchlink.py
+++ b/saffronlane/benchlink.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import gc
 import struct
 import sys
 import traceback
@@ -432,6 +433,7 @@
 
 
 def main() -> int:
+    gc.set_threshold(200_000, 20, 20)  # many long-lived gateways: the default scans them all too often
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -43,7 +43,7 @@
 COLD_LARGEST = 0.1  # largest query for a cold engine, of its budget: a few of them must not fill it by chance
 END_MARGIN, TTL_MARGIN = 0.03, 0.25  # seconds before a client's, a key's time ends: what leaves must arrive
 LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
-HOUSEKEEPING = 0.05  # seconds between wakes while queries are held or the list is to be asked for
+HOUSEKEEPING = 0.15  # seconds between wakes while queries are held or the list is to be asked for
 ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
 SURVIVED = 0.1  # seconds after a break at which an answer to earlier work is no longer one still on its way
 # --- health ---
@@ -61,7 +61,7 @@
 TOLD_THREADS_PER_CORE = 2.0  # own and told threads past which heavy queries wait; the design's value
 TOLD_MEMORY = 0.85  # of an engine's memory that own and told grants may fill; the rest is for untold queries
 HEAVY = 2.0  # a query of more than this x the mean work is told: each message costs all gateways time
-TOLD_MOST = 256  # told queries open at once, loads apart: taking in more would cost too much time
+TOLD_MOST = 128  # told queries open at once, loads apart: taking in more would cost too much time
 TOLD_PATIENCE = 3.0  # what has no end told counts for this x its expected span: a message may be lost
 SENDERS_MOST = 2  # senders up to this x the gateway count are known: it may be a little out of date
 NEWS = (api.PeerMessage, api.Note)  # held queries do not look for room at each: the next wake is near
