--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -35,6 +35,8 @@
 NEED_SEED, NEED_UP, NEED_DOWN = 1.25, 0.15, 0.02  # memory needed over told: a high quantile, a spill is dear
 # --- pressure ---
 PRESSED, RELAXED = 4.0, 2.5  # latency over the best: pressure, queries wait; and the limit grows again
+REPORT_MOST = 100.0  # threads a core; what a report says beyond that is absurd
+PRESSED_THREADS = 2.0  # threads a core that engines report, read as PRESSED; the design's value for full
 SHRINK, SHRINK_GAP, GROW = 0.85, 0.3, 0.5  # factor of a cut, seconds between cuts, threads of growth
 FULL_MEMORY = 1.0  # seconds that an engine where a query had to wait is left out
 # --- guards ---
@@ -75,28 +77,30 @@
         self.estimates = self.told = 0.0  # decayed sum, as the next two, and mean told estimate
         self.latencies = cls.aim * SEED_ANSWERS  # their ratios to the estimates correct those
         self.works = cls.aim * cls.threads * SEED_ANSWERS  # seeded high, so that cold engines get little
+        self.calm = self.works  # the same without what a reported crowd added; work that is told has none
         self.best = 1.0  # uncrowded latency x threads / work, a low quantile
         self.need = 0.0  # memory needed over memory told, a high quantile
 
     def estimate(self, cost: float, told: bool) -> None:
         if not self.estimates:
             self.told, self.estimates = cost, cost * SEED_ANSWERS
-            self.works = self.estimates if told else self.works
+            self.works = self.calm = self.estimates if told else self.works
         self.told += (cost - self.told) * (1.0 - DECAY)
 
-    def answered(self, job: Job, elapsed: float, work: float, memory: float) -> float:
-        """Learn from one answer; returns how crowded it was (1: as fast as the best)."""
+    def answered(self, job: Job, elapsed: float, work: float, memory: float, threads: float) -> float:
+        """Learn from one answer of an engine with so many threads a core; returns how crowded it was."""
         self.count += 1
         calm = self.calm_time(job.cost)
         self.estimates = self.estimates * DECAY + job.cost
         self.latencies = self.latencies * DECAY + elapsed
         self.works = self.works * DECAY + (work or elapsed * self.cls.threads)
+        self.calm = self.calm * DECAY + (work or elapsed * self.cls.threads / max(1.0, threads))
         if memory > 0.0:
             ratio = memory / (job.memory or 1.0)
             self.need = self.need or max(ratio, NEED_SEED if job.memory else 0.0)
             self.need += (NEED_UP if ratio > self.need else NEED_DOWN) * (ratio - self.need)
         if work <= 0.0:
-            return elapsed / calm if self.count > SEED_ANSWERS else 1.0
+            return elapsed / calm if self.count > SEED_ANSWERS and not threads else 1.0
         stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
         step = 0.1 if stretch < self.best else BEST_DRIFT
         self.best += step * (min(stretch, self.best * 2.0) - self.best)
@@ -110,7 +114,7 @@
 
     def calm_time(self, cost: float) -> float:
         """Latency to expect without a crowd."""
-        return max(1e-3, self.work(cost) / self.cls.threads * self.best)
+        return max(1e-3, self.work(cost) / self.cls.threads * self.best * self.calm / self.works)
 
     def exec_time(self, cost: float = 0.0) -> float:
         """The design's ExecTime: estimate x learned ratio, or the mean where no estimate is told."""
@@ -144,6 +148,8 @@
         self.class_threads = [0.0] * len(settings.classes)
         self.recent = Recent()
         self.crowd = 1.0  # smoothed latency over the best, over all engines
+        columns = settings.report_columns
+        self.active_column = columns.index("active") if "active" in columns else len(columns)
         self.limit, self.last_cut = math.inf, -math.inf  # own threads allowed; under pressure, the share
         self.told, self.next_told = ToldBoard(), 0  # others' work
         self.jobs: dict[int, Job] = {}  # owed a final answer
@@ -492,7 +498,9 @@
         self.turns.leave(job)
 
     def retry_after(self, job: Job) -> float:
-        """The time in which the work held here would drain, within what clients honour."""
+        """The time in which the work held here would drain, within what clients honour; 0 where none do."""
+        if not self.limits.retry_after:
+            return 0.0
         cores = self.cores / self.settings.gateways
         backlog = sum(self.exec_time(j) * j.cls.threads for j in self.held.values())
         wait = backlog / cores if cores else math.inf
@@ -535,10 +543,12 @@
         if outcome is Outcome.OK and attempt.sent < suspected < self.now - SURVIVED:
             engine.broke_at = engine.reborn_at = -math.inf  # it kept what it had: a link broke, no process
         self.judge(engine, outcome)
+        threads = self.reported_threads(engine, event.report)
         if outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
             known = self.learned[job.index]
-            self.feel(known.answered(job, elapsed, sane(event.work), sane(event.memory_mb)))
+            crowd = known.answered(job, elapsed, sane(event.work), sane(event.memory_mb), threads)
+            self.feel(crowd if not threads or event.work > 0.0 else threads * PRESSED / PRESSED_THREADS)
         elif outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
             self.feel(PRESSED * 2.0)
             engine.full = self.now
@@ -555,6 +565,14 @@
                 job.deadline = max(job.deadline, self.now + MULTIPLIER * self.exec_time(job))
                 self.held[job.id] = job
 
+    def reported_threads(self, engine: Engine, report: tuple[float, ...]) -> float:
+        """Threads a core that an engine says it runs, by the usual threads of a query; 0: not told."""
+        if self.active_column >= len(report) or not 0.0 < report[self.active_column] < math.inf:
+            return 0.0
+        spans = [max(1, known.count) * known.exec_time() for known in self.learned]
+        threads = sum(s * k.cls.threads for s, k in zip(spans, self.learned, strict=True)) / sum(spans)
+        return min(report[self.active_column] * threads / engine.cores, REPORT_MOST)
+
     def feel(self, crowd: float) -> None:
         """One limit over all engines falls towards the share while answers are late, and grows after."""
         self.crowd += FAIL_STEP * (min(crowd, PRESSED * 2.0) - self.crowd)
