--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -44,7 +44,7 @@
 COLD_CHANCE = 0.5  # the same where a part is less than a query: those of many gateways meet by chance
 COLD_LARGEST = 0.1  # largest query for a cold engine, of its budget: a few of them must not fill it by chance
 END_MARGIN, TTL_MARGIN = 0.03, 0.25  # seconds before a client's, a key's time ends: what leaves must arrive
-LAPSE_GAP = 0.01  # seconds between looks for lapsed queries; every batch would cost too much when many wait
+LAPSE_GAP = 0.05  # seconds between looks for lapsed queries; every batch would cost too much when many wait
 HOUSEKEEPING = 0.15  # seconds between wakes while queries are held or the list is to be asked for
 ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
 SURVIVED = 0.1  # seconds after a break at which an answer to earlier work is no longer one still on its way
@@ -79,6 +79,7 @@
         self.works = cls.aim * cls.threads * SEED_ANSWERS  # seeded high, so that cold engines get little
         self.calm = self.works  # the same without what a reported crowd added; work that is told has none
         self.best = 1.0  # uncrowded latency x threads / work, a low quantile
+        self.pace = 0.0
         self.need = 0.0  # memory needed over memory told, a high quantile
 
     def estimate(self, cost: float, told: bool) -> None:
@@ -86,6 +87,7 @@
             self.told, self.estimates = cost, cost * SEED_ANSWERS
             self.works = self.calm = self.estimates if told else self.works
         self.told += (cost - self.told) * (1.0 - DECAY)
+        self.set_pace()
 
     def answered(self, job: Job, elapsed: float, work: float, memory: float, threads: float) -> float:
         """Learn from one answer of an engine with so many threads a core; returns how crowded it was."""
@@ -100,10 +102,12 @@
             self.need = self.need or max(ratio, NEED_SEED if job.memory else 0.0)
             self.need += (NEED_UP if ratio > self.need else NEED_DOWN) * (ratio - self.need)
         if work <= 0.0:
+            self.set_pace()
             return elapsed / calm if self.count > SEED_ANSWERS and not threads else 1.0
         stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
         step = 0.1 if stretch < self.best else BEST_DRIFT
         self.best += step * (min(stretch, self.best * 2.0) - self.best)
+        self.set_pace()
         return stretch / self.best
 
     def work(self, cost: float = 0.0) -> float:
@@ -116,12 +120,16 @@
         """Latency to expect without a crowd."""
         return max(1e-3, self.work(cost) / self.cls.threads * self.best * self.calm / self.works)
 
+    def set_pace(self) -> None:
+        """ExecTime per estimate; asked for too often to be worked out each time."""
+        pace = self.latencies
+        if self.count >= SEED_ANSWERS:
+            pace = min(pace, EXEC_CAP * self.calm * self.best / self.cls.threads)
+        self.pace = pace / self.estimates if self.estimates else 0.0
+
     def exec_time(self, cost: float = 0.0) -> float:
         """The design's ExecTime: estimate x learned ratio, or the mean where no estimate is told."""
-        crowded = (cost or self.told) * self.latencies / self.estimates if self.estimates else self.cls.aim
-        if self.count >= SEED_ANSWERS:
-            crowded = min(crowded, EXEC_CAP * self.calm_time(cost))
-        return max(1e-3, crowded)
+        return max(1e-3, (cost or self.told) * self.pace if self.pace else self.cls.aim)
 
 
 class Gateway:
@@ -382,10 +390,11 @@
     def extra_allowed(self, job: Job) -> bool:
         """Rule 7: a sliding window over arrivals and further attempts, checked at each of the latter."""
         rules = self.rules
+        if not job.attempts or rules.budget_free is None:
+            return True
         taken = self.taken.count_since(self.now - rules.budget_window + self.settings.tick)
         extras = self.extras.count_since(self.now - rules.budget_window - self.settings.tick)
-        free = not job.attempts or rules.budget_free is None
-        return free or extras + 1 <= rules.budget_free + rules.budget_ratio * taken
+        return extras + 1 <= rules.budget_free + rules.budget_ratio * taken
 
     def open(self, job: Job) -> bool:
         """Rule 2: whether the request may go out again, as far as its earlier attempts are concerned."""
@@ -430,7 +439,8 @@
             if engine is None:
                 self.blocked = True
                 # No room for others of its class either: trying each of a long queue costs far too much.
-                waiting = [j for j in waiting if j.index != job.index or j.attempts or job.attempts]
+                # Further tries may go to fewer engines than first ones, never to more.
+                waiting = [j for j in waiting if j.index != job.index or (job.attempts and not j.attempts)]
             elif self.extra_allowed(job):
                 self.send(job, engine)
 
--- /dev/null
+++ b/tests/test_missing_signals.py
@@ -0,0 +1,89 @@
+"""What stands in where a deployment tells neither cost nor memory, and what clients cannot be told."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from conftest import Driver, make_settings
+
+from saffronlane import interface as api
+from saffronlane.interface import Outcome
+from saffronlane.rules import PRESSED, Gateway
+
+REPORTING = {"report_columns": ("cpu", "active")}
+
+
+def answer(driver: Driver, elapsed: float, active: float, **fields: object) -> None:
+    driver.end(driver.ask(), Outcome.OK, elapsed=elapsed, report=(1.0, active), **fields)
+
+
+def test_a_jam_from_the_first_answer_on_shows_in_reported_queries() -> None:
+    """Latency has nothing calm to be compared with: only the engines' own word tells of the jam."""
+    driver = Driver(make_settings(**REPORTING), engines=2)
+    for _ in range(40):
+        answer(driver, elapsed=3.0, active=40.0)
+        driver.now += 0.1
+    assert driver.gateway.crowd > PRESSED
+    sent = len(driver.sends())
+    driver.step(*(driver.arrival(remaining=5.0) for _ in range(100)))
+    assert 0 < len(driver.sends()) - sent < 50
+
+
+def test_calm_engines_show_no_pressure_however_slow_their_answers() -> None:
+    driver = Driver(make_settings(**REPORTING), engines=2)
+    for _ in range(40):
+        answer(driver, elapsed=3.0, active=4.0)
+        driver.now += 0.1
+    assert driver.gateway.crowd < PRESSED / 2.0
+
+
+def test_exec_time_is_capped_against_calm_time_though_all_answers_are_late() -> None:
+    """Mean latency of a jam, taken for what a query needs, would refuse all that follows."""
+    driver = Driver(make_settings(**REPORTING), engines=2)
+    for _ in range(100):
+        answer(driver, elapsed=4.0, active=64.0)
+    assert driver.gateway.learned[0].exec_time() <= 2.0
+
+
+def test_absurd_reports_change_nothing() -> None:
+    for active in (float("nan"), float("inf"), -float("inf"), -5.0, 0.0):
+        driver, plain = Driver(make_settings(**REPORTING)), Driver(make_settings())
+        for _ in range(20):
+            answer(driver, elapsed=0.5, active=active)
+            plain.end(plain.ask(), Outcome.OK, elapsed=0.5)
+        assert driver.gateway.crowd == plain.gateway.crowd
+        assert driver.gateway.learned[0].exec_time() == plain.gateway.learned[0].exec_time()
+
+
+def test_no_advice_to_come_back_where_clients_do_not_get_it() -> None:
+    limits = api.Limits(cancel=True, max_attempts=4, max_retry_after=2.0, retry_after=False)
+    driver = Driver(make_settings(limits=limits), engines=0)
+    request = driver.ask(remaining=0.5)
+    driver.pass_time(101.0)
+    assert driver.answers(request) == [api.Refuse(request, 0.0)]
+    told = Driver(make_settings(limits=replace(limits, retry_after=True)), engines=0)
+    request = told.ask(remaining=0.5)
+    told.pass_time(101.0)
+    assert told.of_kind(api.Refuse, request)[0].retry_after > 0.0
+
+
+def test_a_long_queue_of_further_attempts_is_not_tried_one_by_one(monkeypatch) -> None:
+    """A jam at full size was cut off: each release tried every held query that had been sent before."""
+    driver = Driver(make_settings(), engines=4)
+    requests = [driver.ask() for _ in range(60)]
+    for request in requests:
+        driver.gateway.limit = 0.0
+        driver.end(request, Outcome.ERROR)
+    assert len(driver.gateway.held) > 40
+    tried: list[int] = []
+    place = Gateway.place
+
+    def counted(gateway: Gateway, job: object) -> object:
+        tried.append(1)
+        return place(gateway, job)
+
+    monkeypatch.setattr(Gateway, "place", counted)
+    blocker = driver.gateway
+    blocker.class_threads[0], blocker.limit = 100.0, 1.0
+    driver.step(driver.arrival())
+    assert 1 <= len(tried) <= 3
