--- a/saffronlane/benchlink.py
+++ b/saffronlane/benchlink.py
@@ -11,7 +11,7 @@
 import sys
 import traceback
 from collections.abc import Callable
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import BinaryIO, TypeVar
 
 from . import interface as api
@@ -23,6 +23,7 @@
 EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 
 E = TypeVar("E", bound=IntEnum)
+C = TypeVar("C", bound=Enum)
 
 _HEAD = struct.Struct(">IId")
 _REPLY = struct.Struct(">II")
@@ -139,6 +140,18 @@
         raise WireError(f"setting extra.kindCores or extra.sizeMb: {error}") from None
 
 
+def _choice(params: _Params, path: str, kind: type[C], default: C) -> C:
+    value = params.text(path, default.value)
+    try:
+        return kind(value)
+    except ValueError:
+        raise WireError(f"setting {path} is unknown: {value!r}") from None
+
+
+def _columns(params: _Params) -> tuple[str, ...]:
+    return tuple(params.items("report.columns", ""))
+
+
 def read_settings(text: str) -> api.Settings:
     """Turn the lines of `params` into Settings; WireError names what is missing or odd."""
     params = _Params(text)
@@ -178,6 +191,7 @@
             cancel=params.flag("limits.cancel"),
             second_copies=params.flag("limits.secondCopies"),
             probing=params.flag("limits.probing"),
+            probe_price=params.number("prices.probe", 0.0),
             peers=params.flag("limits.peers"),
             retry_after=params.flag("limits.retryAfter"),
             max_attempts=int(params.number("limits.sendCap", 1)),
@@ -188,11 +202,13 @@
         grants_heeded=params.flag("extra.grantsCount"),
         priorities_heeded=params.flag("extra.ranksHeeded"),
         largest_grant_share=params.number("extra.largestShare", 1.0),
+        memory_short=_choice(params, "extra.memoryShort", api.MemoryShort, api.MemoryShort.WAIT),
         note_period=params.number("extra.notePeriod", 0.0),
         work_told=params.flag("extra.costInAnswers"),
         over_share_worth=params.number("overShareWorth", 1.0),
         ask_for_list=params.text("membershipMode", "push") == "ask",
-        report_columns=tuple(params.items("report.columns", "")),
+        report_columns=() if params.text("report.via", "none") == "none" else _columns(params),
+        zone_price=params.number("prices.crossZone", 0.0),
         tick=params.number("tick", 0.0),
     )
 
--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -49,6 +49,14 @@
     UNSAFE = "unsafe"
 
 
+class MemoryShort(Enum):
+    """What an engine does when the grants pass its memory."""
+
+    WAIT = "wait"  # the query waits in a line
+    SHRINK = "shrink"  # it gets what is left
+    PAGE = "page"  # it is let in, and all slow down once memory in use passes what there is
+
+
 class Group(Enum):
     """Which engines discard the repeat of a keyed request."""
 
@@ -114,6 +122,7 @@
     cancel: bool = False
     second_copies: bool = False
     probing: bool = False
+    probe_price: float = 0.0  # points of service for one probe a query
     peers: bool = False
     retry_after: bool = False
     max_attempts: int = 1
@@ -136,11 +145,13 @@
     grants_heeded: bool = False
     priorities_heeded: bool = False
     largest_grant_share: float = 1.0
+    memory_short: MemoryShort = MemoryShort.WAIT
     note_period: float = 0.0  # 0: no notes of progress
     work_told: bool = False  # answers tell work and memory
     over_share_worth: float = 1.0
     ask_for_list: bool = False  # the engine list must be subscribed to
     report_columns: tuple[str, ...] = ()
+    zone_price: float = 0.0  # points of service for each query crossing zones once
     tick: float = 0.0  # least time between two batches
 
 
