--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -319,7 +319,7 @@
         told, room = self.limits.peers, engine.cores * TOLD_THREADS_PER_CORE
         if told and engine.threads + engine.told_threads + job.cls.threads / 2.0 > room and self.heavy(job):
             return False
-        if engine.memory_size and (told or engine.memory) and not self.pages:
+        if engine.memory_size and (told or engine.memory):
             room = engine.memory_size * (TOLD_MEMORY if told else MEMORY_SHARE / self.settings.gateways)
             if self.terms(job)[0] > room - engine.memory - engine.told_memory:
                 return False
@@ -449,8 +449,8 @@
         """Memory from learned need; priority by worth per second of work against the usual mix."""
         known, settings = self.learned[job.index], self.settings
         grant = (known.need or NEED_SEED) * job.memory if job.memory else known.need * 1.1
-        if self.largest_grant:  # where memory is counted as used, what is granted beyond the need costs nothing
-            grant = min(grant, self.largest_grant) if not self.pages else self.largest_grant
+        if self.largest_grant:
+            grant = min(grant, self.largest_grant)
         work, worth = self.usual()
         if not settings.priorities_heeded or not work or not worth:
             return grant, 1
