--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -588,7 +588,9 @@
         """One limit over all engines falls towards the share while answers are late, and grows after."""
         self.crowd += FAIL_STEP * (min(crowd, PRESSED * 2.0) - self.crowd)
         if self.crowd > PRESSED and self.now >= self.last_cut + SHRINK_GAP:
-            self.limit = max(self.share(), min(self.limit, self.threads + 1.0) * SHRINK)
+            # Where engines report, the sum of all gateways is measured: no slack for chance is needed.
+            floor = 1.0 if self.active_column < len(self.settings.report_columns) else self.share()
+            self.limit = max(floor, min(self.limit, self.threads + 1.0) * SHRINK)
             self.last_cut = self.now
         elif self.crowd < RELAXED and self.threads >= self.limit / 2.0:
             self.limit += GROW
