--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -35,6 +35,7 @@
 NEED_SEED, NEED_UP, NEED_DOWN = 1.25, 0.15, 0.02  # memory needed over told: a high quantile, a spill is dear
 # --- pressure ---
 PRESSED, RELAXED = 4.0, 2.5  # latency over the best: pressure, queries wait; and the limit grows again
+REPORT_MEMORY = 15.0  # seconds after which a report of an engine's load says little of it
 REPORT_MOST = 100.0  # threads a core; what a report says beyond that is absurd
 PRESSED_THREADS = 2.0  # threads a core that engines report, read as PRESSED; the design's value for full
 SHRINK, SHRINK_GAP, GROW = 0.85, 0.3, 0.5  # factor of a cut, seconds between cuts, threads of growth
@@ -159,6 +160,7 @@
         self.crowd = 1.0  # smoothed latency over the best, over all engines
         columns = settings.report_columns
         self.active_column = columns.index("active") if "active" in columns else len(columns)
+        self.mean_reported = 0.0  # threads a core, over the engines that have reported
         self.limit, self.last_cut = math.inf, -math.inf  # own threads allowed; under pressure, the share
         self.told, self.next_told = ToldBoard(), 0  # others' work
         self.jobs: dict[int, Job] = {}  # owed a final answer
@@ -300,9 +302,14 @@
         return engine.cores * (1.0 - self.coldness(engine) * (1.0 - self.rules.cold_share))
 
     def load(self, engine: Engine) -> float:
-        """Threads per core: own ones that are out or were lately kept busy, others' as far as told."""
+        """Threads per core: own ones that are out or were lately kept busy, others' as told or reported."""
         own = engine.threads + engine.recent.read(self.now, HORIZON)
-        return (own + engine.told_threads) / self.warm_cores(engine)
+        return (own + engine.told_threads + self.reported(engine) * engine.cores) / self.warm_cores(engine)
+
+    def reported(self, engine: Engine) -> float:
+        """Threads a core by the engine's last report, drawn to the fleet's mean as it ages."""
+        fresh = math.exp((engine.reported_at - self.now) / REPORT_MEMORY)
+        return self.mean_reported + fresh * (engine.reported - self.mean_reported)
 
     def heavy(self, job: Job) -> bool:
         """Far more work than the mean query: few queries, most of the work."""
@@ -354,6 +361,8 @@
                 best = engine if last is None else min(last, engine, key=self.load)
                 part = SPILL * self.warm_cores(best) / self.cores
                 spare = best.threads + best.told_threads <= part * threads + job.cls.threads
+                most = SPILL * self.mean_reported + job.cls.threads / best.cores
+                spare = spare and self.reported(best) <= most
                 if last and spare and best.recent.read(self.now, HORIZON) <= part * lately + query:
                     return best
                 least = best if least is None else min(least, best, key=self.load)
@@ -554,7 +563,7 @@
         if outcome is Outcome.OK and attempt.sent < suspected < self.now - SURVIVED:
             engine.broke_at = engine.reborn_at = -math.inf  # it kept what it had: a link broke, no process
         self.judge(engine, outcome)
-        threads = self.reported_threads(engine, event.report)
+        threads = self.take_report(engine, event.report)
         if outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
             known = self.learned[job.index]
@@ -576,13 +585,17 @@
                 job.deadline = max(job.deadline, self.now + MULTIPLIER * self.exec_time(job))
                 self.held[job.id] = job
 
-    def reported_threads(self, engine: Engine, report: tuple[float, ...]) -> float:
+    def take_report(self, engine: Engine, report: tuple[float, ...]) -> float:
         """Threads a core that an engine says it runs, by the usual threads of a query; 0: not told."""
         if self.active_column >= len(report) or not 0.0 < report[self.active_column] < math.inf:
             return 0.0
         spans = [max(1, known.count) * known.exec_time() for known in self.learned]
         threads = sum(s * k.cls.threads for s, k in zip(spans, self.learned, strict=True)) / sum(spans)
-        return min(report[self.active_column] * threads / engine.cores, REPORT_MOST)
+        engine.reported = min(report[self.active_column] * threads / engine.cores, REPORT_MOST)
+        engine.reported_at = self.now
+        known = [e.reported for e in self.ready if e.reported_at > -math.inf]
+        self.mean_reported = sum(known) / max(1, len(known))
+        return engine.reported
 
     def feel(self, crowd: float) -> None:
         """One limit over all engines falls towards the share while answers are late, and grows after."""
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -62,6 +62,7 @@
     def restart(self) -> None:
         self.heard = self.judged = self.full = -math.inf
         self.sent: list[tuple[float, float]] = []  # (time, work) sent within the cold time
+        self.reported, self.reported_at = 0.0, -math.inf  # threads a core that it last reported
         self.fails = 0.0  # decayed share of failures
         self.ill = self.silent = False
         self.broke_at = self.reborn_at = -math.inf  # signs that the process may have restarted unseen
