--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -154,6 +154,17 @@
     zone_price: float = 0.0  # points of service for each query crossing zones once
     tick: float = 0.0  # least time between two batches
 
+    def __post_init__(self) -> None:
+        if not self.classes or not self.kinds or self.gateways < 1:
+            raise ValueError("settings need at least one class, one machine kind and one gateway")
+        if any(kind.cores <= 0 for kind in self.kinds) or any(c.threads < 1 for c in self.classes):
+            raise ValueError("every kind needs cores and every class at least one thread")
+
+    @property
+    def largest_grant(self) -> float:
+        """Memory that one query gets at most; 0: not known."""
+        return max(kind.memory_mb for kind in self.kinds) * self.largest_grant_share
+
 
 # --- events ---------------------------------------------------------------------------------------
 
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -1,9 +1,8 @@
 """Settings, events, actions: see `saffronlane/interface.py`. This module makes every decision of a gateway.
 
-Read it from `Gateway.step` at the bottom upwards. The ordinary path is group EDF: a query's deadline is its
-arrival plus MULTIPLIER x ExecTime; while own work is under its share, the earliest deadline names a group and
-its smallest query leaves first, to the less loaded of the first two engines in its table group's hash order.
-A held query whose time has lapsed is refused. The rest guards the rules or copes with trouble.
+The ordinary path is group EDF: a deadline is arrival + MULTIPLIER x ExecTime; while own work is under share,
+the earliest deadline names a group and its smallest query leaves first, to the less loaded of the first two
+engines in its table group's hash order. A held query whose time has lapsed is refused.
 """
 
 from __future__ import annotations
@@ -11,11 +10,12 @@
 import math
 from collections.abc import Iterator
 from hashlib import blake2b
+from itertools import islice
 from random import Random
 
 from . import interface as api
 from . import messages
-from .interface import Effect, EngineState, Group, ListMode, MemoryShort, NoteKind, Outcome
+from .interface import Effect, EngineState, Group, ListMode, NoteKind, Outcome
 from .state import Attempt, Engine, Job, Recent, ToldBoard, Turns, Window, sane
 
 # --- the ordinary path ---
@@ -36,13 +36,16 @@
 # --- pressure ---
 PRESSED, RELAXED = 4.0, 2.5  # latency over the best: pressure, queries wait; and the limit grows again
 REPORT_MEMORY = 15.0  # seconds after which a report of an engine's load says little of it
+PROBED, PROBE_GAP, PROBE_WAIT = 3, 0.1, 0.025  # engines asked, if not asked so lately; seconds for their word
+PROBE_PRICE = 0.02  # points of service for a probe a query up to which asking for heavy queries pays
+BUSY = 0.85  # share of busy cores at which an engine does what it can
 REPORT_MOST = 100.0  # threads a core; what a report says beyond that is absurd
 PRESSED_THREADS = 2.0  # threads a core that engines report, read as PRESSED; the design's value for full
 SHRINK, SHRINK_GAP, GROW = 0.85, 0.3, 0.5  # factor of a cut, seconds between cuts, threads of growth
 FULL_MEMORY = 1.0  # seconds that an engine where a query had to wait is left out
 # --- guards ---
 COLD_MARGIN = 0.85  # use only this share of a cold engine's budget: a query's work is but estimated
-COLD_CHANCE = 0.5  # the same where a part is less than a query: those of many gateways meet by chance
+COLD_CHANCE = 0.42  # the same where a part is less than a query: two turns' worth may fall into a window
 COLD_LARGEST = 0.1  # largest query for a cold engine, of its budget: a few of them must not fill it by chance
 END_MARGIN, TTL_MARGIN = 0.03, 0.25  # seconds before a client's, a key's time ends: what leaves must arrive
 LAPSE_GAP = 0.05  # seconds between looks for lapsed queries; every batch would cost too much when many wait
@@ -67,7 +70,7 @@
 TOLD_MOST = 128  # told queries open at once, loads apart: taking in more would cost too much time
 TOLD_PATIENCE = 3.0  # what has no end told counts for this x its expected span: a message may be lost
 SENDERS_MOST = 2  # senders up to this x the gateway count are known: it may be a little out of date
-NEWS = (api.PeerMessage, api.Note)  # held queries do not look for room at each: the next wake is near
+NEWS = (api.PeerMessage, api.Note, api.ProbeResult)  # held queries look for room at the next wake
 
 
 class Learned:
@@ -102,14 +105,19 @@
             ratio = memory / (job.memory or 1.0)
             self.need = self.need or max(ratio, NEED_SEED if job.memory else 0.0)
             self.need += (NEED_UP if ratio > self.need else NEED_DOWN) * (ratio - self.need)
-        if work <= 0.0:
-            self.set_pace()
-            return elapsed / calm if self.count > SEED_ANSWERS and not threads else 1.0
-        stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
-        step = 0.1 if stretch < self.best else BEST_DRIFT
-        self.best += step * (min(stretch, self.best * 2.0) - self.best)
+        crowd = elapsed / calm if self.count > SEED_ANSWERS and not threads else 1.0
+        if work > 0.0:
+            stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
+            step = 0.1 if stretch < self.best else BEST_DRIFT
+            self.best += step * (min(stretch, self.best * 2.0) - self.best)
+            crowd = stretch / self.best
         self.set_pace()
-        return stretch / self.best
+        return crowd
+
+    def cut_short(self, job: Job, elapsed: float) -> None:
+        """A run ended early is longer than it got: left out, the mean would lie too low for rule 4."""
+        missing = elapsed * self.cls.threads - self.work(job.cost)
+        self.works += max(0.0, missing) if self.estimates else 0.0
 
     def work(self, cost: float = 0.0) -> float:
         """Work to expect of an estimate, or of the usual query."""
@@ -137,15 +145,9 @@
     """The decisions of one gateway. Feed `step` every batch of events; carry out what it returns."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        if not settings.classes or not settings.kinds or settings.gateways < 1:
-            raise ValueError("settings need at least one class, one machine kind and one gateway")
-        if any(kind.cores <= 0 for kind in settings.kinds) or any(c.threads < 1 for c in settings.classes):
-            raise ValueError("every kind needs cores and every class at least one thread")
         self.settings, self.rules, self.limits = settings, settings.guarantees, settings.limits
-        self.largest_grant = max(kind.memory_mb for kind in settings.kinds) * settings.largest_grant_share
-        self.pages = settings.memory_short is MemoryShort.PAGE
         self.random = Random(seed)
-        self.now = 0.0
+        self.now, self.born = 0.0, math.inf
         self.actions: list[api.Action] = []
         self.learned = [Learned(cls) for cls in settings.classes]
         safe = [i for i, cls in enumerate(settings.classes) if cls.effect is Effect.SAFE]
@@ -159,8 +161,10 @@
         self.recent = Recent()
         self.crowd = 1.0  # smoothed latency over the best, over all engines
         columns = settings.report_columns
-        self.active_column = columns.index("active") if "active" in columns else len(columns)
+        self.active_column = columns.index("active") if "active" in columns else None
         self.mean_reported = 0.0  # threads a core, over the engines that have reported
+        cheap = self.limits.probing and self.limits.probe_price <= PROBE_PRICE
+        self.probing = cheap and self.active_column is not None
         self.limit, self.last_cut = math.inf, -math.inf  # own threads allowed; under pressure, the share
         self.told, self.next_told = ToldBoard(), 0  # others' work
         self.jobs: dict[int, Job] = {}  # owed a final answer
@@ -175,7 +179,7 @@
         self.handlers = {
             api.ListUpdate: self.on_list, api.Arrival: self.on_arrival, api.AttemptEnded: self.on_ended,
             api.Note: self.on_note, api.TimerFired: self.on_timer, api.PeerMessage: self.on_peer,
-            api.ClientGone: self.on_gone, api.StreamStarted: self.on_stream,
+            api.ClientGone: self.on_gone, api.StreamStarted: self.on_stream, api.ProbeResult: self.on_probe,
         }  # fmt: skip
         self.timers: dict[int, Job | Attempt | None] = {}  # None: housekeeping
         self.next_token, self.wake = 1, -math.inf
@@ -185,9 +189,6 @@
         self.timers[token] = whom
         self.actions.append(api.SetTimer(token, at))
 
-    def log(self, text: str) -> None:
-        self.actions.append(api.Log(text))
-
     def exec_time(self, job: Job) -> float:
         return self.learned[job.index].exec_time(job.cost)
 
@@ -217,7 +218,7 @@
         engine = self.engines.get(entry.engine)
         if engine is None:
             kind = self.settings.kinds[min(entry.kind, len(self.settings.kinds) - 1)]
-            engine = self.engines[entry.engine] = Engine(entry, kind, self.random.random())
+            engine = self.engines[entry.engine] = Engine(entry, kind)
             self.marks[messages.engine_mark(entry.engine)] = engine
             return
         restarted = entry.started != engine.started and entry.started > 0.0
@@ -241,21 +242,27 @@
     def cold_room(self, engine: Engine, job: Job) -> bool:
         """Rule 4: our part of a cold engine's budget, whatever becomes of the work sent.
 
-        Where a part is less than a query, whole ones leave as far apart as it asks, the first after a share
-        of that gap drawn by the seed: all gateways together send what the parts allow. Covers rolls, crashes,
-        lost rooms. Harmful where a class's work is far above what was learned.
+        Where a part is less than a query, whole ones leave in turns of one window, spread by position: all
+        whose turns meet a window fit the budget, whoever saved up or restarted. Covers rolls, crashes, waves.
+        Harmful where a class's work is far above what was learned.
         """
         rules, work, now = self.rules, self.work(job), self.now
         if not rules.fall_multiple or not self.coldness(engine):
             return True
-        budget = rules.fall_multiple * rules.cold_share * engine.cores * rules.fall_window
-        part = COLD_MARGIN * budget / self.settings.gateways
+        window, gateways = rules.fall_window, self.settings.gateways
+        start = self.cold_start(engine)
+        if start < self.born and now < self.born + window:  # sends before a restart are not remembered
+            return False
+        budget = BUSY * rules.fall_multiple * rules.cold_share * engine.cores * window
+        part = COLD_MARGIN * budget / gateways
         if work <= part:
-            window = rules.fall_window + self.settings.tick
-            return work + sum(other for at, other in engine.sent if at >= now - window) <= part
-        gap = work / (COLD_CHANCE * budget / self.settings.gateways) * rules.fall_window
-        last = engine.sent[-1][0] if engine.sent else self.cold_start(engine) - (1.0 - engine.luck) * gap
-        return work <= COLD_LARGEST * budget and now >= last + gap
+            since = now - window - self.settings.tick
+            return work + sum(other for at, other in engine.sent if at >= since) <= part
+        pace = gateways * window / (COLD_CHANCE * budget)  # seconds between turns, for each second of work
+        turn = (now - start) / (pace * work) - engine.luck - self.settings.position / gateways
+        last, before = engine.sent[-1] if engine.sent else (-math.inf, 0.0)
+        rested = now >= last + pace * before - window
+        return rested and work <= COLD_LARGEST * budget and turn % 1.0 * pace * work < window
 
     # --- placement ---
 
@@ -313,7 +320,7 @@
 
     def heavy(self, job: Job) -> bool:
         """Far more work than the mean query: few queries, most of the work."""
-        return job.cls.is_load or self.work(job) > HEAVY * self.usual()[0]
+        return job.cls.is_load or 0.0 < HEAVY * self.usual()[0] < self.work(job)
 
     def usual(self) -> tuple[float, float]:
         """Work and worth of the mean query."""
@@ -333,11 +340,8 @@
         return self.cold_room(engine, job)
 
     def usable(self, job: Job, strict: bool) -> Iterator[Engine]:
-        """Engines in hash order that may be used; strict passes over those that had better be left out.
-
-        A load holds its group on its engine; a second one there would stand still and keep its memory. Loads
-        of other gateways may go untold, so each gateway has its own hash order for loads.
-        """
+        """Engines in hash order that may be used; strict passes over those that had better be left out."""
+        # A second load of a group would stand still: each gateway has its own hash order for loads.
         apart = job.cls.is_load or job.cls.waits_for_loads
         for engine in self.order(job.tables, self.settings.position + 1 if job.cls.is_load else 0):
             if strict and (engine.full > self.now - FULL_MEMORY or engine.id in job.avoid):
@@ -437,7 +441,8 @@
                     self.finish(job)
         self.blocked = False
         self.told.forget_until(self.now)
-        waiting = [j for j in self.held.values() if self.turns.has(j, self.now) and self.extra_allowed(j)]
+        waiting = [j for j in self.held.values() if j.looks_until <= self.now + 1e-6]
+        waiting = [j for j in waiting if self.turns.has(j, self.now) and self.extra_allowed(j)]
         waiting.sort(key=lambda j: (j.deadline, j.id))
         while waiting:
             first = waiting[0]
@@ -448,8 +453,7 @@
             engine = self.place(job)
             if engine is None:
                 self.blocked = True
-                # No room for others of its class either: trying each of a long queue costs far too much.
-                # Further tries may go to fewer engines than first ones, never to more.
+                # No room for others of its class: trying each costs too much; further tries go to no more.
                 waiting = [j for j in waiting if j.index != job.index or (job.attempts and not j.attempts)]
             elif self.extra_allowed(job):
                 self.send(job, engine)
@@ -458,8 +462,8 @@
         """Memory from learned need; priority by worth per second of work against the usual mix."""
         known, settings = self.learned[job.index], self.settings
         grant = (known.need or NEED_SEED) * job.memory if job.memory else known.need * 1.1
-        if self.largest_grant:
-            grant = min(grant, self.largest_grant)
+        if settings.largest_grant:
+            grant = min(grant, settings.largest_grant)
         work, worth = self.usual()
         if not settings.priorities_heeded or not work or not worth:
             return grant, 1
@@ -519,12 +523,10 @@
 
     def retry_after(self, job: Job) -> float:
         """The time in which the work held here would drain, within what clients honour; 0 where none do."""
-        if not self.limits.retry_after:
-            return 0.0
-        cores = self.cores / self.settings.gateways
         backlog = sum(self.exec_time(j) * j.cls.threads for j in self.held.values())
-        wait = backlog / cores if cores else math.inf
-        return min(max(wait, self.exec_time(job)), self.limits.max_retry_after)
+        wait = backlog * self.settings.gateways / self.cores if self.cores else math.inf
+        most = self.limits.max_retry_after if self.limits.retry_after else 0.0
+        return min(most, max(wait, self.exec_time(job)))
 
     def cancel(self, attempt: Attempt) -> None:
         if self.limits.cancel and not attempt.cancelled and not attempt.job.streaming:
@@ -543,6 +545,27 @@
         self.turns.join(job)
         self.timer(job.limit - END_MARGIN, job)
         self.held[job.id] = job
+        if self.probing and self.heavy(job):
+            self.ask_around(job)
+
+    def ask_around(self, job: Job) -> None:
+        """Ask the first engines in a heavy query's order what they hold; it waits a moment for their word."""
+        order = islice(self.usable(job, strict=True), PROBED)
+        asked = [e for e in order if max(e.asked_at, e.reported_at) < self.now - PROBE_GAP]
+        for engine in asked:
+            engine.asked_at = self.now
+            self.actions.append(api.Probe(engine.id))
+        if asked:
+            job.looks_until = self.now + PROBE_WAIT
+            self.timer(job.looks_until, None)
+
+    def on_probe(self, event: api.ProbeResult) -> None:
+        """A probe proves a process, not that it answers queries; none at all is a sign of trouble."""
+        engine = self.engines.get(event.engine)
+        if engine is not None and event.outcome is Outcome.OK:
+            self.take_report(engine, event.report)
+        elif engine is not None and event.outcome is not Outcome.REJECTED:
+            engine.full = self.now
 
     def on_ended(self, event: api.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
@@ -569,7 +592,9 @@
             known = self.learned[job.index]
             crowd = known.answered(job, elapsed, sane(event.work), sane(event.memory_mb), threads)
             self.feel(crowd if not threads or event.work > 0.0 else threads * PRESSED / PRESSED_THREADS)
-        elif outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
+        elif not self.settings.work_told and outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
+            self.learned[job.index].cut_short(job, sane(event.elapsed))
+        if outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
             self.feel(PRESSED * 2.0)
             engine.full = self.now
         if job.ended:
@@ -587,11 +612,12 @@
 
     def take_report(self, engine: Engine, report: tuple[float, ...]) -> float:
         """Threads a core that an engine says it runs, by the usual threads of a query; 0: not told."""
-        if self.active_column >= len(report) or not 0.0 < report[self.active_column] < math.inf:
+        column = self.active_column
+        if column is None or column >= len(report) or not 0.0 < report[column] < math.inf:
             return 0.0
         spans = [max(1, known.count) * known.exec_time() for known in self.learned]
         threads = sum(s * k.cls.threads for s, k in zip(spans, self.learned, strict=True)) / sum(spans)
-        engine.reported = min(report[self.active_column] * threads / engine.cores, REPORT_MOST)
+        engine.reported = min(report[column] * threads / engine.cores, REPORT_MOST)
         engine.reported_at = self.now
         known = [e.reported for e in self.ready if e.reported_at > -math.inf]
         self.mean_reported = sum(known) / max(1, len(known))
@@ -602,7 +628,7 @@
         self.crowd += FAIL_STEP * (min(crowd, PRESSED * 2.0) - self.crowd)
         if self.crowd > PRESSED and self.now >= self.last_cut + SHRINK_GAP:
             # Where engines report, the sum of all gateways is measured: no slack for chance is needed.
-            floor = 1.0 if self.active_column < len(self.settings.report_columns) else self.share()
+            floor = self.share() if self.active_column is None else 1.0
             self.limit = max(floor, min(self.limit, self.threads + 1.0) * SHRINK)
             self.last_cut = self.now
         elif self.crowd < RELAXED and self.threads >= self.limit / 2.0:
@@ -627,7 +653,7 @@
             self.condemn(engine, "failing")
         elif engine.ill and outcome is Outcome.OK and engine.fails < WELL:
             engine.ill, engine.silent, engine.trial_gap = False, False, TRIAL_GAP
-            self.log(f"engine {engine.id.hex()} answers again, back in use")
+            self.actions.append(api.Log(f"engine {engine.id.hex()} answers again, back in use"))
             self.trust()
         elif engine.ill and outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
             engine.trial_gap = min(engine.trial_gap * 2.0, TRIAL_GAP_MOST)
@@ -643,7 +669,7 @@
         engine.ill, engine.fails, engine.silent = True, 1.0, why == "silent"
         engine.trial_gap = TRIAL_GAP
         self.put_off_trial(engine)
-        self.log(f"engine {engine.id.hex()} {why}, left alone but for trials")
+        self.actions.append(api.Log(f"engine {engine.id.hex()} {why}, left alone but for trials"))
         self.trust()
 
     def put_off_trial(self, engine: Engine) -> None:
@@ -654,7 +680,8 @@
         before, ill = self.distrust, sum(e.ill and not e.silent for e in self.ready)
         self.distrust = distrust = ill > ILL_SHARE * len(self.ready)
         if distrust != before:
-            self.log("most engines look ill, verdicts ignored" if distrust else "verdicts hold again")
+            text = "most engines look ill, verdicts ignored" if distrust else "verdicts hold again"
+            self.actions.append(api.Log(text))
 
     def patience(self, job: Job) -> float:
         """Seconds without a word after which an attempt counts as lost."""
@@ -663,11 +690,9 @@
         return max(SILENT_FLOOR, OVERDUE * self.exec_time(job)) * (1.0 if self.limits.second_copies else 2.0)
 
     def look_after(self, attempt: Attempt) -> None:
-        """An attempt with no word for long: try elsewhere what may be tried.
+        """Try elsewhere what has no word for long: lost answers, hangs, cut links, unseen deaths.
 
-        Covers lost answers, hangs, cut links and processes that died unseen, at the first attempt they meet.
-        Without notes a long query is silent by nature: a second copy leaves the first its chance. Harmful if
-        a jam looks like silence: hence no copies under pressure.
+        Without notes a long query is silent too: a second copy leaves the first its chance. Not in a jam.
         """
         job, engine, noted = attempt.job, attempt.engine, self.settings.note_period > 0.0
         if attempt.outcome is not None or attempt.cancelled or job.ended or job.streaming:
@@ -705,11 +730,7 @@
             self.move_on(attempt)
 
     def move_on(self, attempt: Attempt) -> None:
-        """It waits in the engine's line, so nothing is lost by a try elsewhere while some engine has room.
-
-        The note tells of all gateways' load: the engine is left out for a moment. Covers memory taken up and
-        loads in the way. Harmful if a place far up a line is lost: once an engine, never with the last try.
-        """
+        """It waits, for memory or a load: try elsewhere. Harmful if its place is far up: once an engine."""
         job, engine = attempt.job, attempt.engine
         engine.full = self.now
         if not attempt.cancelled and self.may_repeat(job):
@@ -718,11 +739,9 @@
                 self.cancel(attempt)
 
     def check_plan(self, attempt: Attempt, done: float) -> None:
-        """Bad plan: progress far behind the estimate, so that a fresh run is expected to end much sooner.
+        """Bad plan, or stuck on a slow engine: a fresh run is expected to end much sooner.
 
-        Also catches a query stuck on one slow engine. If a second run is as slow, the query itself is long:
-        it is given up when it cannot end in time, or while others wait for room, since its worth for its work
-        is the least there is. Harmful where long queries matter more than their worth says.
+        If a second run is as slow, the query is long: given up when it cannot end in time or others wait.
         """
         job, spent = attempt.job, self.now - attempt.sent
         fresh, remainder = self.exec_time(job), spent * (1.0 - done) / max(done, 1e-3)
@@ -764,7 +783,7 @@
 
     def step(self, now: float, events: list[api.Event]) -> list[api.Action]:
         """Take in a whole batch, then release once, so that queries arriving together compete by deadline."""
-        self.now = now
+        self.now, self.born = now, min(self.born, now)
         self.actions = []
         for event in events:
             if handler := self.handlers.get(type(event)):
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -6,6 +6,7 @@
 import math
 from collections import deque
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from . import interface as api
 from . import messages
@@ -44,14 +45,14 @@
 class Engine:
     """One engine as a gateway knows it: the list's word, what its own traffic showed, what others told."""
 
-    def __init__(self, entry: api.EngineEntry, kind: api.KindSettings, luck: float) -> None:
+    def __init__(self, entry: api.EngineEntry, kind: api.KindSettings) -> None:
         self.id, self.cores, self.memory_size = entry.engine, kind.cores, kind.memory_mb
         self.threads = self.memory = 0.0  # own work that is out
         self.told_threads = self.told_memory = 0.0  # others' work, as far as they told
         self.told_loads: dict[int, int] = {}  # others' loads by their table group's mark
         self.recent = Recent()
         self.out: dict[tuple[int, int], Attempt] = {}
-        self.luck = luck  # this gateway's turn, 0 to 1, among those that may send to the engine while cold
+        self.luck = int.from_bytes(blake2b(entry.engine, digest_size=4).digest(), "big") / 2.0**32
         self.update(entry)
         self.restart()
 
@@ -63,6 +64,7 @@
         self.heard = self.judged = self.full = -math.inf
         self.sent: list[tuple[float, float]] = []  # (time, work) sent within the cold time
         self.reported, self.reported_at = 0.0, -math.inf  # threads a core that it last reported
+        self.asked_at = -math.inf  # the last probe
         self.fails = 0.0  # decayed share of failures
         self.ill = self.silent = False
         self.broke_at = self.reborn_at = -math.inf  # signs that the process may have restarted unseen
@@ -99,6 +101,7 @@
         self.arrival, self.limit = now, now + sane(event.remaining, 0.0, cls.deadline or 1e9)
         self.cost, self.memory, self.tables = sane(event.cost) or 1.0, sane(event.memory_mb), event.tables
         self.deadline = self.limit
+        self.looks_until = -math.inf  # engines were asked for their load; held until then
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts without an outcome
         self.ended = self.streaming = self.rerun = False
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -238,3 +238,63 @@
     names = [name for parts in lines if len(parts) > 1 for name in parts[0].strip().split(", ")]
     constants = [name for name in names if name.isupper()]
     assert len(constants) > 20 and len(constants) == len(set(constants))
+
+
+# --- rule 4 on days that no bench has played ---
+
+FEW_WORTH = api.Guarantees(fall_multiple=2.5, fall_window=1.0, cold_share=0.31, cold_time=13.0)
+FEW_BUDGET = 0.85 * 2.5 * 0.31 * 8.0 * 1.0  # at the rate at which cores are 85% busy
+
+
+def cold_engine_sends(drivers: list[Driver], at: list[float], queries: int) -> list[float]:
+    """Ask every gateway for so many queries at each time; returns when they left for the cold engine."""
+    times = []
+    for now in at:
+        for driver in drivers:
+            driver.now = now
+            before = len(driver.sends())
+            driver.step(*(driver.arrival() for _ in range(queries)))
+            times += [now] * (len(driver.sends()) - before)
+            for send in driver.sends()[before:]:
+                driver.end(send.request, Outcome.OK, work=WORK, elapsed=WORK)
+    return times
+
+
+@pytest.mark.parametrize("count", [2, 54, 200])
+@pytest.mark.parametrize("idle", [0.0, 5.0, 9.0])
+def test_gateways_with_nothing_to_send_do_not_save_up_their_turns(count: int, idle: float) -> None:
+    """Unused turns saved up at each of 54 gateways would be twice what the engine survives."""
+    drivers = many(count, engines=1, guarantees=FEW_WORTH)
+    for driver in drivers:
+        driver.now = 130.0
+        driver.list([api.EngineEntry(engine_id(0), EngineState.READY, started=130.0)], ListMode.DELTA)
+    start = 130.0 + idle
+    times = cold_engine_sends(drivers, [start + step / 10.0 for step in range(30)], 3)
+    assert times, "a cold engine is not used"
+    assert max(sum(at <= t < at + 1.0 for t in times) for at in times) * WORK <= FEW_BUDGET
+
+
+@pytest.mark.parametrize("count", [2, 54])
+def test_restarted_gateways_do_not_send_their_part_of_a_cold_engine_anew(count: int) -> None:
+    drivers = many(count, engines=1, guarantees=FEW_WORTH)
+    entry = api.EngineEntry(engine_id(0), EngineState.READY, started=130.0)
+    for driver in drivers:
+        driver.now = 130.0
+        driver.list([entry], ListMode.DELTA)
+    times = cold_engine_sends(drivers, [134.0 + step / 10.0 for step in range(6)], 3)
+    for position in range(0, count, 2):
+        plain = make_settings(gateways=count, position=position, guarantees=FEW_WORTH)
+        drivers[position] = Driver(plain, engines=0, seed=position + 1000, now=134.7)
+        drivers[position].list([entry])
+    times += cold_engine_sends(drivers, [134.7 + step / 10.0 for step in range(20)], 3)
+    assert times, "a cold engine is not used"
+    assert max(sum(at <= t < at + 1.0 for t in times) for at in times) * WORK <= FEW_BUDGET
+
+
+def test_runs_cut_short_do_not_make_a_class_look_small() -> None:
+    """Without told cost only the short ones of a class would be learned of, and a cold engine overfilled."""
+    driver = Driver(make_settings(guarantees=FEW_WORTH))
+    for _ in range(60):
+        driver.end(driver.ask(), Outcome.OK, elapsed=0.2)
+        driver.end(driver.ask(), Outcome.CANCELLED, elapsed=3.0, final=True)
+    assert driver.gateway.learned[0].work() > 1.0
--- a/tests/test_missing_signals.py
+++ b/tests/test_missing_signals.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from conftest import Driver, make_settings
+from conftest import Driver, engine_id, make_settings
 
 from saffronlane import interface as api
 from saffronlane.interface import Outcome
@@ -87,3 +87,79 @@
     blocker.class_threads[0], blocker.limit = 100.0, 1.0
     driver.step(driver.arrival())
     assert 1 <= len(tried) <= 3
+
+
+# --- load reports ---
+
+
+def learn_classes(driver: Driver) -> None:
+    for cls, work, count in ((0, 0.2, 40), (1, 4.0, 5)):
+        for _ in range(count):
+            request = driver.ask(cls)
+            driver.pass_time(driver.now + 0.05)
+            driver.end(request, Outcome.OK, elapsed=work, work=work)
+    driver.actions.clear()
+
+
+def test_an_engine_that_reports_much_is_passed_by_and_the_report_ages() -> None:
+    """Own threads of one of many gateways tell nothing of an engine that the others fill."""
+    driver = Driver(make_settings(gateways=100, **REPORTING), engines=3)
+    for index in range(3):
+        driver.gateway.take_report(driver.gateway.engines[engine_id(index)], (1.0, 4.0 if index else 60.0))
+    requests = [driver.ask(tables=float(i)) for i in range(30)]
+    assert engine_id(0) not in {driver.sends(r)[0].engine for r in requests}
+    driver.now += 120.0
+    requests = [driver.ask(tables=float(i)) for i in range(30, 60)]
+    assert engine_id(0) in {driver.sends(r)[0].engine for r in requests}
+
+
+PROBING = api.Limits(cancel=True, max_attempts=4, probing=True, probe_price=0.01)
+
+
+def test_a_heavy_query_asks_for_load_and_waits_but_a_moment() -> None:
+    driver = Driver(make_settings(limits=PROBING, gateways=100, **REPORTING), engines=6)
+    learn_classes(driver)
+    driver.pass_time(driver.now + 30.0)
+    light = driver.ask(0)
+    assert driver.sends(light) and not driver.of_kind(api.Probe)
+    heavy = driver.ask(1, tables=3.0)
+    probed = [probe.engine for probe in driver.of_kind(api.Probe)]
+    assert not driver.sends(heavy) and 2 <= len(set(probed)) == len(probed) < 6
+    for engine in probed:
+        active = 1.0 if engine == probed[-1] else 50.0
+        driver.step(api.ProbeResult(engine, Outcome.OK, 0.001, (1.0, active)))
+    driver.pass_time(driver.now + 0.1)
+    assert [send.engine for send in driver.sends(heavy)] == [probed[-1]]
+
+
+def test_a_heavy_query_leaves_though_no_probe_is_answered() -> None:
+    driver = Driver(make_settings(limits=PROBING, gateways=100, **REPORTING), engines=6)
+    learn_classes(driver)
+    driver.pass_time(driver.now + 30.0)
+    heavy = driver.ask(1)
+    driver.pass_time(driver.now + 0.1)
+    assert len(driver.sends(heavy)) == 1
+
+
+def test_no_probes_where_they_are_dear_or_tell_nothing() -> None:
+    for changes in ({"limits": replace(PROBING, probe_price=0.5), **REPORTING}, {"limits": PROBING}):
+        driver = Driver(make_settings(gateways=100, **changes), engines=6)
+        learn_classes(driver)
+        driver.pass_time(driver.now + 30.0)
+        driver.ask(1)
+        assert driver.of_kind(api.Probe) == []
+
+
+def test_odd_probe_results_are_harmless() -> None:
+    driver = Driver(make_settings(limits=PROBING, **REPORTING), engines=2)
+    known = driver.gateway.engines[engine_id(0)]
+    for report in ((), (1.0,), (float("nan"), float("nan")), (1.0, -3.0), (1.0, float("inf")), (0.0,) * 4):
+        driver.step(api.ProbeResult(engine_id(0), Outcome.OK, 0.001, report))
+    assert known.reported == 0.0
+    driver.step(api.ProbeResult(engine_id(99), Outcome.OK, 0.001, (1.0, 5.0)))
+    for outcome in Outcome:
+        driver.step(api.ProbeResult(engine_id(0), outcome, 0.25))
+    driver.list([api.EngineEntry(engine_id(1), api.EngineState.READY)])
+    driver.step(api.ProbeResult(engine_id(0), Outcome.OK, 0.001, (1.0, 5.0)))
+    learn_classes(driver)
+    assert driver.sends(driver.ask())[0].engine == engine_id(1)
