--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -35,11 +35,10 @@
 NEED_SEED, NEED_UP, NEED_DOWN = 1.25, 0.15, 0.02  # memory needed over told: a high quantile, a spill is dear
 # --- pressure ---
 PRESSED, RELAXED = 4.0, 2.5  # latency over the best: pressure, queries wait; and the limit grows again
-REPORT_MEMORY = 15.0  # seconds after which a report of an engine's load says little of it
 PROBED, PROBE_GAP, PROBE_WAIT = 3, 0.1, 0.025  # engines asked, if not asked so lately; seconds for their word
 PROBE_PRICE = 0.02  # points of service for a probe a query up to which asking for heavy queries pays
 BUSY = 0.85  # share of busy cores at which an engine does what it can
-REPORT_MOST = 100.0  # threads a core; what a report says beyond that is absurd
+REPORT_MOST, REPORT_MEMORY = 100.0, 15.0  # threads a core, more is absurd; seconds until it says little
 PRESSED_THREADS = 2.0  # threads a core that engines report, read as PRESSED; the design's value for full
 SHRINK, SHRINK_GAP, GROW = 0.85, 0.3, 0.5  # factor of a cut, seconds between cuts, threads of growth
 FULL_MEMORY = 1.0  # seconds that an engine where a query had to wait is left out
@@ -225,7 +224,7 @@
         back = engine.state is EngineState.GONE and entry.state is EngineState.READY
         engine.update(entry)
         if restarted:
-            engine.restart()
+            engine.restart(self.now)
         elif back:  # it may have restarted unseen: nothing tells when, so it counts as cold from now
             engine.reborn_at = self.now
 
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -54,16 +54,16 @@
         self.out: dict[tuple[int, int], Attempt] = {}
         self.luck = int.from_bytes(blake2b(entry.engine, digest_size=4).digest(), "big") / 2.0**32
         self.update(entry)
-        self.restart()
+        self.restart(entry.started or -math.inf)
 
     def update(self, entry: api.EngineEntry) -> None:
         self.state, self.zone, self.kind, self.cell = entry.state, entry.zone, entry.kind, entry.cell
         self.started = entry.started
 
-    def restart(self) -> None:
+    def restart(self, now: float) -> None:
         self.heard = self.judged = self.full = -math.inf
         self.sent: list[tuple[float, float]] = []  # (time, work) sent within the cold time
-        self.reported, self.reported_at = 0.0, -math.inf  # threads a core that it last reported
+        self.reported, self.reported_at = 0.0, now  # threads a core that it last reported; a new one has none
         self.asked_at = -math.inf  # the last probe
         self.fails = 0.0  # decayed share of failures
         self.ill = self.silent = False
