--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -25,7 +25,7 @@
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
 SHARE_CHANCE = 1.5  # the share's slack in standard deviations: of few queries some are out together by chance
 HORIZON = 10.0  # seconds that own sent work counts as load: where few queries are out, those tell nothing
-LATE_WORTH = 0.2  # classes whose late answers earn less than this are not worth an engine once they are late
+LATE_WORTH = 0.6  # while engines are full the aim is the limit of classes whose late answers earn less
 MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
@@ -424,7 +424,6 @@
         known = self.learned[job.index]
         limit = min(job.deadline, job.limit - END_MARGIN)
         if self.blocked and job.cls.late_value < LATE_WORTH:
-            # Exception while engines are full: where late answers earn nothing, the aim is the limit.
             stretch = job.cls.aim_stretch * known.work(job.cost) / job.cls.threads
             limit = min(limit, job.arrival + job.cls.aim + stretch)
         return self.now + (known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0) > limit
