--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -16,16 +16,17 @@
 from . import interface as api
 from . import messages
 from .interface import Effect, EngineState, Group, ListMode, NoteKind, Outcome
-from .state import Attempt, Engine, Job, Recent, ToldBoard, Turns, Window, sane
+from .state import Attempt, Bucket, Engine, Job, Recent, ToldBoard, Turns, Window, sane
 
 # --- the ordinary path ---
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
 GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
+HOMES, CROSSING = 4, 0.03  # of a group's first, the own zone's lead where crossing costs so many points
 SPILL = 1.25  # an engine over this x mean load plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
 SHARE_CHANCE = 1.5  # the share's slack in standard deviations: of few queries some are out together by chance
 HORIZON = 10.0  # seconds that own sent work counts as load: where few queries are out, those tell nothing
-LATE_WORTH = 0.6  # while engines are full the aim is the limit of classes whose late answers earn less
+LATE_WORTH = 0.4  # while engines are full the aim is the limit of classes whose late answers earn less
 MEMORY_SHARE = 1.0  # of an engine's memory, over the gateway count, that own grants may fill
 # --- learning ---
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
@@ -42,6 +43,7 @@
 PRESSED_THREADS = 2.0  # threads a core that engines report, read as PRESSED; the design's value for full
 SHRINK, SHRINK_GAP, GROW = 0.85, 0.3, 0.5  # factor of a cut, seconds between cuts, threads of growth
 FULL_MEMORY = 1.0  # seconds that an engine where a query had to wait is left out
+TENANT_SLACK, TENANT_DEPTH, TENANT_SPAN = 1.3, 3.0, 2.0  # fronts are uneven; queries, seconds of a burst
 # --- guards ---
 COLD_MARGIN = 0.85  # use only this share of a cold engine's budget: a query's work is but estimated
 COLD_CHANCE = 0.42  # the same where a part is less than a query: two turns' worth may fall into a window
@@ -119,13 +121,11 @@
         self.works += max(0.0, missing) if self.estimates else 0.0
 
     def work(self, cost: float = 0.0) -> float:
-        """Work to expect of an estimate, or of the usual query."""
         if not self.estimates:
             return self.works / SEED_ANSWERS
         return (cost or self.told) * self.works / self.estimates
 
     def calm_time(self, cost: float) -> float:
-        """Latency to expect without a crowd."""
         return max(1e-3, self.work(cost) / self.cls.threads * self.best * self.calm / self.works)
 
     def set_pace(self) -> None:
@@ -159,6 +159,8 @@
         self.class_threads = [0.0] * len(settings.classes)
         self.recent = Recent()
         self.crowd = 1.0  # smoothed latency over the best, over all engines
+        self.buckets = [Bucket() for _ in settings.tenants]
+        self.crossing_costs = settings.zone_price >= CROSSING
         columns = settings.report_columns
         self.active_column = columns.index("active") if "active" in columns else None
         self.mean_reported = 0.0  # threads a core, over the engines that have reported
@@ -192,7 +194,6 @@
         return self.learned[job.index].exec_time(job.cost)
 
     def work(self, job: Job) -> float:
-        """The class's mean, or the told estimate where that is more."""
         return max(self.learned[job.index].work(), self.learned[job.index].work(job.cost))
 
     # --- the engine list (rules 3 and 4) ---
@@ -229,11 +230,9 @@
             engine.reborn_at = self.now
 
     def cold_start(self, engine: Engine) -> float:
-        """The later of the told and the suspected start."""
         return max(min(engine.started, self.now) if engine.started > 0.0 else -math.inf, engine.reborn_at)
 
     def coldness(self, engine: Engine) -> float:
-        """Share of the cold time that is left; 0 once warm."""
         if self.rules.cold_time <= 0.0:
             return 0.0
         return sane(1.0 - (self.now - self.cold_start(engine)) / self.rules.cold_time, 0.0, 1.0)
@@ -271,6 +270,8 @@
         if order is None:
             name = repr((float(tables), salt)).encode()
             order = sorted(self.ready, key=lambda e: blake2b(name + e.id, digest_size=8).digest())
+            if self.crossing_costs:  # of the first few, those of the own zone lead
+                order[:HOMES] = sorted(order[:HOMES], key=lambda e: e.zone != self.settings.zone)
             self.orders[tables, salt] = order
         return order
 
@@ -294,11 +295,6 @@
         short = self.exec_time(job) <= 2.0 * min(self.learned[i].exec_time() for i in self.trial_classes)
         return short and self.trial_credit >= 1.0 and not job.attempts
 
-    def share(self) -> float:
-        """Own threads under full pressure: our part of what the ready engines run well."""
-        part = self.cores * SHARE_THREADS_PER_CORE / self.settings.gateways
-        return part + SHARE_CHANCE * math.sqrt(part)
-
     def under_limit(self, job: Job) -> bool:  # to half a query; none counts longer ones: a lane for the short
         own, classes = self.learned[job.index].exec_time(), zip(self.class_threads, self.learned, strict=True)
         out = sum(threads for threads, known in classes if threads and known.exec_time() <= own)
@@ -310,7 +306,8 @@
     def load(self, engine: Engine) -> float:
         """Threads per core: own ones that are out or were lately kept busy, others' as told or reported."""
         own = engine.threads + engine.recent.read(self.now, HORIZON)
-        return (own + engine.told_threads + self.reported(engine) * engine.cores) / self.warm_cores(engine)
+        load = (own + engine.told_threads + self.reported(engine) * engine.cores) / self.warm_cores(engine)
+        return load * SPILL if self.crossing_costs and engine.zone != self.settings.zone else load
 
     def reported(self, engine: Engine) -> float:
         """Threads a core by the engine's last report, drawn to the fleet's mean as it ages."""
@@ -318,11 +315,9 @@
         return self.mean_reported + fresh * (engine.reported - self.mean_reported)
 
     def heavy(self, job: Job) -> bool:
-        """Far more work than the mean query: few queries, most of the work."""
         return job.cls.is_load or 0.0 < HEAVY * self.usual()[0] < self.work(job)
 
-    def usual(self) -> tuple[float, float]:
-        """Work and worth of the mean query."""
+    def usual(self) -> tuple[float, float]:  # work and worth of the mean query
         count = max(1, sum(k.count for k in self.learned))
         work = sum(k.count * k.work() for k in self.learned) / count
         return work, sum(k.count * k.cls.value for k in self.learned) / count
@@ -389,7 +384,6 @@
         self.actions.append(api.Tell(None, messages.encode(start)))
 
     def on_peer(self, event: api.PeerMessage) -> None:
-        """Take in what another gateway told; anything odd or of an engine unknown here is ignored."""
         message, sender = messages.decode(event.data), event.sender
         if message is None or not 0 <= sender < SENDERS_MOST * self.settings.gateways:
             return
@@ -423,6 +417,8 @@
         """The design's refusal: now + ExecTime passes the query's, the class's or the client's limit."""
         known = self.learned[job.index]
         limit = min(job.deadline, job.limit - END_MARGIN)
+        if self.blocked and job.over:
+            return True
         if self.blocked and job.cls.late_value < LATE_WORTH:
             stretch = job.cls.aim_stretch * known.work(job.cost) / job.cls.threads
             limit = min(limit, job.arrival + job.cls.aim + stretch)
@@ -441,11 +437,11 @@
         self.told.forget_until(self.now)
         waiting = [j for j in self.held.values() if j.looks_until <= self.now + 1e-6]
         waiting = [j for j in waiting if self.turns.has(j, self.now) and self.extra_allowed(j)]
-        waiting.sort(key=lambda j: (j.deadline, j.id))
+        waiting.sort(key=lambda j: (j.over, j.deadline, j.id))
         while waiting:
             first = waiting[0]
             end = first.deadline + GROUP_RANGE * (first.deadline - first.arrival)
-            group = [j for j in waiting if j.deadline <= end]
+            group = [j for j in waiting if j.over == first.over and j.deadline <= end]
             job = min(group, key=lambda j: (self.exec_time(j), j.deadline, j.id))
             waiting.remove(job)
             engine = self.place(job)
@@ -495,7 +491,6 @@
         self.tell(attempt)
 
     def count(self, attempt: Attempt, sign: float) -> None:
-        """Keep the sums of own work that is out."""
         attempt.engine.threads += sign * attempt.threads
         attempt.engine.memory += sign * attempt.grant
         self.threads += sign * attempt.threads
@@ -538,6 +533,7 @@
         job = Job(event, index, self.settings.classes[index], self.now)
         self.learned[index].estimate(job.cost, told=event.cost > 0.0)
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
+        job.over = self.over_allowance(event.tenant)
         self.taken.append(self.now)
         self.jobs[job.id] = job
         self.turns.join(job)
@@ -546,6 +542,14 @@
         if self.probing and self.heavy(job):
             self.ask_around(job)
 
+    def over_allowance(self, tenant: int) -> bool:
+        """Whether a tenant sends more than its allowance here: such queries yield while engines are full."""
+        tenants = self.settings.tenants
+        if not 0 <= tenant < len(tenants) or not tenants[tenant].allowance > 0.0:
+            return False
+        rate = TENANT_SLACK * tenants[tenant].allowance / self.settings.gateways
+        return self.buckets[tenant].passes(self.now, rate, TENANT_DEPTH + TENANT_SPAN * rate)
+
     def ask_around(self, job: Job) -> None:
         """Ask the first engines in a heavy query's order what they hold; it waits a moment for their word."""
         order = islice(self.usable(job, strict=True), PROBED)
@@ -625,8 +629,8 @@
         """One limit over all engines falls towards the share while answers are late, and grows after."""
         self.crowd += FAIL_STEP * (min(crowd, PRESSED * 2.0) - self.crowd)
         if self.crowd > PRESSED and self.now >= self.last_cut + SHRINK_GAP:
-            # Where engines report, the sum of all gateways is measured: no slack for chance is needed.
-            floor = self.share() if self.active_column is None else 1.0
+            part = self.cores * SHARE_THREADS_PER_CORE / self.settings.gateways  # what ready engines run well
+            floor = part + SHARE_CHANCE * math.sqrt(part) if self.active_column is None else 1.0
             self.limit = max(floor, min(self.limit, self.threads + 1.0) * SHRINK)
             self.last_cut = self.now
         elif self.crowd < RELAXED and self.threads >= self.limit / 2.0:
@@ -671,7 +675,6 @@
         self.trust()
 
     def put_off_trial(self, engine: Engine) -> None:
-        """The next trial, spread by the seed so that gateways do not all try at once."""
         engine.next_trial = self.now + engine.trial_gap * self.random.uniform(0.8, 1.2)
 
     def trust(self) -> None:
@@ -682,7 +685,6 @@
             self.actions.append(api.Log(text))
 
     def patience(self, job: Job) -> float:
-        """Seconds without a word after which an attempt counts as lost."""
         if period := self.settings.note_period:
             return SILENT_NOTES * period + min(period, self.learned[job.index].calm_time(job.cost))
         return max(SILENT_FLOOR, OVERDUE * self.exec_time(job)) * (1.0 if self.limits.second_copies else 2.0)
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -33,6 +33,20 @@
         self.value, self.at = self.read(now, horizon) + work / horizon, now
 
 
+class Bucket:
+    """A leaky bucket: what comes fills it, a rate empties it."""
+
+    def __init__(self) -> None:
+        self.level, self.at = 0.0, -math.inf
+
+    def passes(self, now: float, rate: float, depth: float) -> bool:
+        """Count one more; whether it would pass the depth, and then it is not counted."""
+        self.level, self.at = max(0.0, self.level - (now - self.at) * rate), now
+        over = self.level + 1.0 > depth
+        self.level += 0.0 if over else 1.0
+        return over
+
+
 class Window(deque[float]):
     """Times in order, of which the old ones are forgotten."""
 
@@ -105,6 +119,7 @@
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts without an outcome
         self.ended = self.streaming = self.rerun = False
+        self.over = False  # beyond its tenant's allowance
         self.avoid: list[bytes] = []  # engines that failed this request
 
     def first_maybe(self) -> Attempt | None:
--- a/tests/test_missing_signals.py
+++ b/tests/test_missing_signals.py
@@ -163,3 +163,68 @@
     driver.step(api.ProbeResult(engine_id(0), Outcome.OK, 0.001, (1.0, 5.0)))
     learn_classes(driver)
     assert driver.sends(driver.ask())[0].engine == engine_id(1)
+
+
+def test_a_new_engine_counts_as_empty_not_as_loaded_like_the_mean() -> None:
+    driver = Driver(make_settings(gateways=100, **REPORTING), engines=3)
+    for index in range(3):
+        driver.gateway.take_report(driver.gateway.engines[engine_id(index)], (1.0, 20.0))
+    entry = api.EngineEntry(engine_id(7), api.EngineState.READY, started=driver.now)
+    driver.list([entry], api.ListMode.DELTA)
+    fresh, *others = (driver.gateway.engines[engine_id(i)] for i in (7, 0, 1, 2))
+    assert driver.gateway.load(fresh) < min(map(driver.gateway.load, others)) / 4.0
+
+
+# --- zones and tenants ---
+
+
+def test_where_crossing_costs_the_own_zone_leads_among_the_first_in_order() -> None:
+    crossed = {}
+    for price in (0.0, 0.04):
+        driver = Driver(make_settings(zones=("a", "b", "c"), zone=1, zone_price=price), engines=0)
+        driver.list([api.EngineEntry(engine_id(i), api.EngineState.READY, zone=i % 3) for i in range(12)])
+        for i in range(60):
+            driver.end(driver.ask(tables=float(i)), Outcome.OK)
+        crossed[price] = sum(send.engine[3] % 3 != 1 for send in driver.sends())
+    assert crossed[0.04] < 0.75 * crossed[0.0]
+
+
+TENANTS = (api.TenantSettings("steady", 40.0, 0.8), api.TenantSettings("surging", 10.0, 0.2))
+
+
+def tenant_driver(**changes: object) -> Driver:
+    driver = Driver(make_settings(tenants=TENANTS, **changes), engines=1)
+    for _ in range(6):
+        driver.end(driver.ask(), Outcome.OK, elapsed=0.2, work=0.2)
+    return driver
+
+
+def test_a_tenant_beyond_its_allowance_yields_while_engines_are_full() -> None:
+    """One tenant's surge must not take the others' service; what is within its allowance stays."""
+    driver = tenant_driver()
+    driver.gateway.limit = 4.0
+    surge = [driver.arrival(tenant=1) for _ in range(80)]
+    steady = [driver.arrival(tenant=0) for _ in range(10)]
+    driver.step(*surge)
+    driver.step(*steady)
+    for _ in range(10):
+        out = [a.job.id for a in driver.gateway.attempts.values()]
+        for request in out:
+            driver.end(request, Outcome.OK, elapsed=0.2, work=0.2)
+        driver.now += 0.06
+    served = {send.request for send in driver.sends()}
+    assert {event.request for event in steady} <= served
+    assert 10 < sum(event.request in served for event in surge) < 60
+
+
+def test_a_surge_is_served_while_there_is_room() -> None:
+    driver = tenant_driver()
+    requests = [driver.ask(tenant=1) for _ in range(60)]
+    assert all(driver.sends(r) for r in requests)
+
+
+def test_tenants_out_of_range_or_without_allowance_are_ordinary() -> None:
+    for tenants in ((), (api.TenantSettings("none"),), (api.TenantSettings("odd", float("nan")),)):
+        driver = Driver(make_settings(tenants=tenants), engines=2)
+        requests = [driver.ask(tenant=tenant) for tenant in (0, 1, 99, 2**31)]
+        assert all(driver.sends(r) for r in requests)
