Full scores; a start told in the future no longer overflows; pages

Case: an engine listed with a start far ahead made reported() overflow (found by the random events, now with odd starts, reports, probes, tenants and unsafe loads in order).

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -311,7 +311,7 @@
 
     def reported(self, engine: Engine) -> float:
         """Threads a core by the engine's last report, drawn to the fleet's mean as it ages."""
-        fresh = math.exp((engine.reported_at - self.now) / REPORT_MEMORY)
+        fresh = math.exp(min(0.0, engine.reported_at - self.now) / REPORT_MEMORY)
         return self.mean_reported + fresh * (engine.reported - self.mean_reported)
 
     def heavy(self, job: Job) -> bool:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -159,6 +159,28 @@
     assert settings.guarantees.budget_free == 3.0
 
 
+def test_settings_of_load_memory_and_prices_are_passed_on() -> None:
+    more = """extra.memoryShort=page
+report.via=probe
+report.columns=cpu,active
+limits.probing=true
+prices.probe=0.01
+prices.crossZone=0.04
+services.0.effect=fragile
+tenants.count=1
+tenants.0.name=one
+tenants.0.allowancePerS=12.5
+"""
+    settings = benchlink.read_settings(PARAMS + more)
+    assert settings.memory_short is api.MemoryShort.PAGE
+    assert settings.report_columns == ("cpu", "active") and settings.limits.probe_price == 0.01
+    assert settings.zone_price == 0.04 and settings.tenants[0].allowance == 12.5
+    assert settings.classes[0].effect is api.Effect.UNSAFE
+    plain = benchlink.read_settings(PARAMS)
+    assert plain.memory_short is api.MemoryShort.WAIT and plain.report_columns == ()
+    assert benchlink.read_settings(PARAMS + more.replace("via=probe", "via=none")).report_columns == ()
+
+
 def test_kill_and_rebirth_in_one_batch_forgets_the_requests() -> None:
     records, tail = birth()
     first = batch(8.0, [*records, ask()], tail)
@@ -220,6 +242,7 @@
         (missing("fleetSize"), "fleetSize"),
         (batch(1.0, *birth(params=PARAMS.replace("fleetSize=2", "fleetSize=0"))), "settings make no sense"),
         (batch(1.0, *birth(params=PARAMS.replace("aim=1.0", "aim=soon"))), "services.0.aim"),
+        (batch(1.0, *birth(params=PARAMS + "extra.memoryShort=melt\n")), "extra.memoryShort"),
     ],
 )
 def test_bad_input_ends_with_one_plain_line(data: bytes, named: str) -> None:
--- a/tests/test_random_events.py
+++ b/tests/test_random_events.py
@@ -18,7 +18,10 @@
     api.ClassSettings("keyed", 1.0, 6.0, threads=2, effect=Effect.KEYED, group=Group.ZONE, key_ttl=2.0),
     api.ClassSettings("unsafe", 1.0, 4.0, threads=1, effect=Effect.UNSAFE, zones_only=(0,)),
     api.ClassSettings("ordered", 1.0, 5.0, late_value=0.5, threads=2, ordered=True),
+    api.ClassSettings("load", 2.0, 6.0, threads=2, effect=Effect.UNSAFE, ordered=True, is_load=True),
 )
+ODD = (float("nan"), float("inf"), -float("inf"), -1.0, 0.0, 1e30, 3.0)
+TENANTS = (api.TenantSettings("some", 4.0), api.TenantSettings("none"), api.TenantSettings("odd", ODD[0]))
 BUDGET = api.Guarantees(
     answer_slack=0.02,
     order_settle=0.5,
@@ -37,8 +40,16 @@
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
-        limits = api.Limits(cancel=True, max_attempts=3, max_retry_after=1.0, probing=True)
-        plain = make_settings(classes=CLASSES, guarantees=BUDGET, limits=limits, note_period=1.0)
+        limits = api.Limits(cancel=True, max_attempts=3, max_retry_after=1.0, probing=True, probe_price=0.01)
+        plain = make_settings(
+            classes=CLASSES,
+            guarantees=BUDGET,
+            limits=limits,
+            note_period=1.0,
+            tenants=TENANTS,
+            report_columns=("cpu", "active"),
+            zone_price=self.random.choice([0.0, 0.04]),
+        )
         self.driver = Driver(plain, engines=0)
         self.states = {engine_id(i): EngineState.READY for i in range(6)}
         self.driver.list([self.entry(e) for e in self.states])
@@ -52,7 +63,11 @@
         self.rest: dict[int, float] = {}
 
     def entry(self, engine: bytes) -> api.EngineEntry:
-        return api.EngineEntry(engine, self.states[engine], zone=engine[3] % 2)
+        started = self.random.choice([0.0, 0.0, 0.0, self.driver.now, ODD[0], 1e12])
+        return api.EngineEntry(engine, self.states[engine], started, zone=engine[3] % 2)
+
+    def odd_report(self) -> tuple[float, ...]:
+        return tuple(self.random.choice(ODD) for _ in range(self.random.randrange(4)))
 
     def feed(self, event: api.Event) -> None:
         self.check(self.driver.step(event))
@@ -109,7 +124,8 @@
         cls = self.random.randrange(len(CLASSES))
         key = self.random.randrange(1, 4) if CLASSES[cls].ordered else 0
         remaining = self.random.uniform(0.1, CLASSES[cls].deadline)
-        event = self.driver.arrival(cls, remaining, key=key, tables=float(self.random.randrange(5)))
+        fields = {"key": key, "tables": float(self.random.randrange(5)), "tenant": self.random.randrange(6)}
+        event = self.driver.arrival(cls, remaining, **fields)
         self.open[event.request], self.limit[event.request] = event, self.driver.now + remaining
         self.outcomes[event.request], self.engines[event.request] = [], []
         self.taken.append(self.driver.now)
@@ -138,7 +154,8 @@
         elapsed = self.driver.now - sent
         work = self.random.choice([0.0, 0.1, 5.0])
         assert event is None or request == event.request
-        self.feed(api.AttemptEnded(request, n, engine, outcome, elapsed, final, work))
+        report = self.odd_report()
+        self.feed(api.AttemptEnded(request, n, engine, outcome, elapsed, final, work, report=report))
 
     def change_list(self) -> None:
         engine = self.random.choice(list(self.states))
@@ -155,7 +172,10 @@
                 api.AttemptEnded(request, 0, engine, Outcome.OK, 1.0, True),
                 api.Note(request, 1, engine, api.NoteKind.PROGRESS, 0.01),
                 api.TimerFired(10**9),
-                api.ProbeResult(engine, Outcome.TIMEOUT, 0.2),
+                api.ProbeResult(engine, self.random.choice(list(Outcome)), 0.2, self.odd_report()),
+                api.ProbeResult(engine_id(77), Outcome.OK, 0.2, (1.0, 2.0)),
+                api.Note(request, 0, engine, api.NoteKind.SPILLING, self.random.choice(ODD)),
+                api.Note(request, 0, engine, api.NoteKind.WAITING, self.random.choice(ODD)),
                 api.ClientGone(10**9),
             ]
         )
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -215,6 +215,36 @@
     assert driver.sends(second)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED])
+def test_unsafe_load_in_order_ends_with_fail_and_the_next_of_its_key_waits(outcome: Outcome) -> None:
+    """A lost load may still run: no repeat, no word that a repeat is safe, and the key waits for its end."""
+    classes = one_class(effect=Effect.UNSAFE, ordered=True, is_load=True, late_value=0.5)
+    driver = Driver(make_settings(classes=classes, note_period=0.5))
+    first, second = driver.ask(key=5, remaining=4.0), driver.ask(key=5)
+    driver.pass_time(103.0)
+    assert len(driver.sends(first)) == 1 and not driver.sends(second)
+    assert not driver.of_kind(api.Cancel, first)
+    driver.end(first, outcome)
+    assert driver.answers(first) == [api.Fail(first)] and len(driver.sends(first)) == 1
+    assert len(driver.sends(second)) == 1
+
+
+def test_unsafe_load_is_never_the_trial_of_a_doubtful_engine() -> None:
+    classes = (LOOKUP, replace(LOOKUP, effect=Effect.UNSAFE))
+    driver = Driver(make_settings(classes=classes), engines=3)
+    driver.gateway.condemn(driver.gateway.engines[engine_id(0)], "failing")
+    used: dict[int, set[bytes]] = {0: set(), 1: set()}
+    for i in range(60):
+        driver.now += 1.0
+        for cls in (1, 0):
+            request = driver.ask(cls, tables=float(i))
+            engine = driver.sends(request)[0].engine
+            used[cls].add(engine)
+            driver.end(request, Outcome.ERROR if engine == engine_id(0) else Outcome.OK, final=True)
+    assert used[1] == {engine_id(1), engine_id(2)}
+    assert engine_id(0) in used[0]
+
+
 # --- 6: placement is kept ---
 
 
