--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -21,7 +21,7 @@
 # --- the ordinary path ---
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
 GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
-HOMES, CROSSING = 4, 0.03  # of a group's first, the own zone's lead where crossing costs so many points
+HOMES, CROSSING = 3, 0.03  # of a group's first, the own zone's lead where crossing costs so many points
 SPILL = 1.25  # an engine over this x mean load plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
 SHARE_CHANCE = 1.5  # the share's slack in standard deviations: of few queries some are out together by chance
@@ -129,7 +129,6 @@
         return max(1e-3, self.work(cost) / self.cls.threads * self.best * self.calm / self.works)
 
     def set_pace(self) -> None:
-        """ExecTime per estimate; asked for too often to be worked out each time."""
         pace = self.latencies
         if self.count >= SEED_ANSWERS:
             pace = min(pace, EXEC_CAP * self.calm * self.best / self.cls.threads)
@@ -174,9 +173,8 @@
         self.turns = Turns()  # rule 5
         self.taken, self.extras = Window(), Window()  # rule 7: arrivals and further attempts
         self.distrust = self.asked = False
-        self.trial_credit = TRIAL_CREDIT
-        self.blocked = False  # the last release left a query for want of room
-        self.next_lapse = self.next_ask = -math.inf
+        self.trial_credit, self.blocked = TRIAL_CREDIT, False  # the last release found no room for a query
+        self.next_lapse = self.next_ask = self.cold_until = -math.inf
         self.handlers = {
             api.ListUpdate: self.on_list, api.Arrival: self.on_arrival, api.AttemptEnded: self.on_ended,
             api.Note: self.on_note, api.TimerFired: self.on_timer, api.PeerMessage: self.on_peer,
@@ -212,6 +210,7 @@
         self.orders.clear()
         self.ready = [e for e in self.engines.values() if e.state is EngineState.READY]
         self.cores = sum(e.cores for e in self.ready)
+        self.cold_until = max(map(self.cold_start, self.ready), default=-math.inf) + self.rules.cold_time
         self.trust()
 
     def on_entry(self, entry: api.EngineEntry) -> None:
@@ -241,8 +240,7 @@
         """Rule 4: our part of a cold engine's budget, whatever becomes of the work sent.
 
         Where a part is less than a query, whole ones leave in turns of one window, spread by position: all
-        whose turns meet a window fit the budget, whoever saved up or restarted. Covers rolls, crashes, waves.
-        Harmful where a class's work is far above what was learned.
+        whose turns meet a window fit it, whoever saved up or restarted. Harmful where work is mislearned.
         """
         rules, work, now = self.rules, self.work(job), self.now
         if not rules.fall_multiple or not self.coldness(engine):
@@ -333,11 +331,11 @@
                 return False
         return self.cold_room(engine, job)
 
-    def usable(self, job: Job, strict: bool) -> Iterator[Engine]:
+    def usable(self, job: Job, strict: bool, among: list[Engine] | None = None) -> Iterator[Engine]:
         """Engines in hash order that may be used; strict passes over those that had better be left out."""
         # A second load of a group would stand still: each gateway has its own hash order for loads.
         apart = job.cls.is_load or job.cls.waits_for_loads
-        for engine in self.order(job.tables, self.settings.position + 1 if job.cls.is_load else 0):
+        for engine in among or self.order(job.tables, self.settings.position + 1 if job.cls.is_load else 0):
             if strict and (engine.full > self.now - FULL_MEMORY or engine.id in job.avoid):
                 continue
             if strict and apart and engine.loading(job.tables):
@@ -351,6 +349,9 @@
         """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
         if not self.cores or not self.under_limit(job):
             return None
+        for engine in self.ready if self.now < self.cold_until else ():  # turns are short
+            if self.coldness(engine) and next(self.usable(job, True, [engine]), None):
+                return engine
         threads, lately = self.threads + self.told.threads, self.recent.read(self.now, HORIZON)
         query = self.work(job) / HORIZON
         for strict in (True, False):
@@ -535,6 +536,7 @@
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
         job.over = self.over_allowance(event.tenant)
         self.taken.append(self.now)
+        self.taken.count_since(self.now - self.rules.budget_window - self.settings.tick)
         self.jobs[job.id] = job
         self.turns.join(job)
         self.timer(job.limit - END_MARGIN, job)
@@ -562,7 +564,6 @@
             self.timer(job.looks_until, None)
 
     def on_probe(self, event: api.ProbeResult) -> None:
-        """A probe proves a process, not that it answers queries; none at all is a sign of trouble."""
         engine = self.engines.get(event.engine)
         if engine is not None and event.outcome is Outcome.OK:
             self.take_report(engine, event.report)
@@ -764,7 +765,6 @@
             self.finish(whom)
 
     def keep_house(self) -> None:
-        """Ask for the list, and wake again only while something is due: many gateways are idle."""
         asking = self.settings.ask_for_list and not self.asked
         if asking and self.now >= self.next_ask:
             self.asked, asking = True, False
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -291,6 +291,20 @@
     assert max(sum(at <= t < at + 1.0 for t in times) for at in times) * WORK <= FEW_BUDGET
 
 
+def test_a_cold_engine_takes_small_queries_first_while_it_is_the_gateways_turn() -> None:
+    """Turns are short: left to the hash order they would pass unused and the cold engine idle."""
+    used = 0
+    for driver in many(54, engines=20, guarantees=FEW_WORTH):
+        driver.now = 130.0
+        driver.list([api.EngineEntry(engine_id(0), EngineState.READY, started=130.0)], ListMode.DELTA)
+        before = len(driver.sends())
+        for step in range(40):
+            driver.now = 130.0 + step / 10.0
+            driver.end(driver.ask(tables=float(step)), Outcome.OK, work=WORK, elapsed=WORK)
+        used += sum(send.engine == engine_id(0) for send in driver.sends()[before:])
+    assert used >= 15
+
+
 def test_runs_cut_short_do_not_make_a_class_look_small() -> None:
     """Without told cost only the short ones of a class would be learned of, and a cold engine overfilled."""
     driver = Driver(make_settings(guarantees=FEW_WORTH))
