--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -298,8 +298,8 @@
         driver.now = 130.0
         driver.list([api.EngineEntry(engine_id(0), EngineState.READY, started=130.0)], ListMode.DELTA)
         before = len(driver.sends())
-        for step in range(40):
-            driver.now = 130.0 + step / 10.0
+        for step in range(10):
+            driver.now = 130.0 + step / 2.5
             driver.end(driver.ask(tables=float(step)), Outcome.OK, work=WORK, elapsed=WORK)
         used += sum(send.engine == engine_id(0) for send in driver.sends()[before:])
     assert used >= 15
