--- /dev/null
+++ b/saffronlane/dispatch/__init__.py
@@ -0,0 +1,36 @@
+"""The core of the dispatcher: a library without I/O. Events go in with their time, effects come out."""
+
+from .core import Dispatcher
+from .effects import (
+    CancelAttempt,
+    Commit,
+    DiscardAttempt,
+    Effect,
+    FailRequest,
+    RecallAttempt,
+    RefuseRequest,
+    Serve,
+    StartAttempt,
+)
+from .inputs import AttemptDone, AttemptNote, ClientLeft, Input, ResultReady, StopNow, StopTaking, Submit
+
+__all__ = [
+    "AttemptDone",
+    "AttemptNote",
+    "CancelAttempt",
+    "ClientLeft",
+    "Commit",
+    "DiscardAttempt",
+    "Dispatcher",
+    "Effect",
+    "FailRequest",
+    "Input",
+    "RecallAttempt",
+    "RefuseRequest",
+    "ResultReady",
+    "Serve",
+    "StartAttempt",
+    "StopNow",
+    "StopTaking",
+    "Submit",
+]
--- /dev/null
+++ b/saffronlane/dispatch/core.py
@@ -0,0 +1,352 @@
+"""The dispatcher: keeps the ledger of requests and attempts, and turns decisions into effects.
+
+`rules.Gateway` decides. This class sees to it that what is decided can be carried out without a slip: one
+final answer for each request, no result of an attempt that was given up, timers, and nothing after the end.
+It holds no socket, task, clock or global: `step` takes the time and what happened, and returns what to do.
+The same inputs at the same times give the same effects, which is how a recorded day is played again.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from .. import interface as api
+from ..rules import Gateway
+from ..state import NEVER_RAN
+from . import effects as fx
+from . import inputs as inp
+
+Record = Callable[[float, list[inp.Input], list[fx.Effect]], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    n: int
+    engine: bytes
+    cancelled: bool = False
+    done: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Request:
+    id: int
+    attempts: list[_Attempt] = field(default_factory=list)
+    terms: tuple[float, int] | None = None  # of the next attempt
+    committed: int | None = None
+    ended: bool = False
+
+    @property
+    def out(self) -> list[_Attempt]:
+        return [a for a in self.attempts if not a.done]
+
+
+class Dispatcher:
+    """One gateway's core. Two of them share nothing.
+
+    Args:
+        settings: as `rules.Gateway` takes them.
+        seed: of every random draw.
+        record: is told each step's time, inputs and effects (see `dispatch.journal`).
+    """
+
+    def __init__(self, settings: api.Settings, seed: int, record: Record | None = None) -> None:
+        self.settings = settings
+        self.seed = seed
+        self.gateway = Gateway(settings, seed)
+        self.faults = 0  # times that the decisions failed and were begun anew
+        self._record = record
+        self._requests: dict[int, _Request] = {}
+        self._closing: set[int] = set()  # ended in this step
+        self._owed = 0
+        self._next_request = 1
+        self._timers: list[tuple[float, int]] = []
+        self._engines: dict[bytes, api.EngineEntry] = {}
+        self._version = 0
+        self._stop_at: float | None = None  # no request is taken any more
+        self._stopped = False
+        self._effects: list[fx.Effect] = []
+        self._now = -math.inf
+        self._takers: dict[type, Callable[[Any], list[api.Event]]] = {
+            inp.Submit: self._on_submit,
+            inp.ResultReady: self._on_ready,
+            inp.AttemptDone: self._on_done,
+            inp.AttemptNote: self._on_note,
+            inp.ClientLeft: self._on_left,
+            inp.StopTaking: self._on_stop_taking,
+            inp.StopNow: self._on_stop_now,
+            api.ListUpdate: self._on_list,
+            api.ProbeResult: lambda event: [event],
+            api.PeerMessage: lambda event: [event],
+        }
+        self._doers: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send,
+            api.SetTerms: self._set_terms,
+            api.Cancel: self._cancel,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.SetTimer: self._set_timer,
+        }
+
+    def new_request(self) -> int:
+        """A number for the next request; each is given once."""
+        number, self._next_request = self._next_request, self._next_request + 1
+        return number
+
+    @property
+    def next_wake(self) -> float:
+        """When `step` wants to be called even if nothing happens; infinity: never."""
+        return self._timers[0][0] if self._timers else math.inf
+
+    @property
+    def owed(self) -> int:
+        """Requests without a final answer."""
+        return self._owed
+
+    @property
+    def attempts_out(self) -> int:
+        """Attempts whose end has not been told, those of ended requests included."""
+        return sum(len(r.out) for r in self._requests.values())
+
+    @property
+    def held(self) -> int:
+        """Requests that wait for an engine."""
+        return len(self.gateway.held)
+
+    def step(self, now: float, inputs: list[inp.Input]) -> list[fx.Effect]:
+        """Take in all that happened up to `now`, in order; return what to do, in order.
+
+        An answer and the timer that would give it up may fall into one step: inputs come first, so that the
+        answer counts. A clock that goes back counts as standing still.
+        """
+        self._now = now = max(now, self._now)
+        self._effects = []
+        events: list[api.Event] = []
+        before = list(inputs)
+        for event in inputs:
+            events += self._takers[type(event)](event)
+        while self._timers and self._timers[0][0] <= now:
+            events.append(api.TimerFired(heapq.heappop(self._timers)[1]))
+        if events:
+            self._decide(now, events)
+        effects, self._effects = self._effects, []
+        if self._record is not None:
+            self._record(now, before, effects)
+        return effects
+
+    def _decide(self, now: float, events: list[api.Event]) -> None:
+        try:
+            actions = self.gateway.step(now, events)
+        except Exception as error:
+            # Guards against a fault in the decisions: no request may be lost by it, and no later one harmed.
+            self._begin_anew(now, repr(error))
+            return
+        for action in actions:
+            doer = self._doers.get(type(action))
+            if doer is not None:
+                doer(action)
+            else:
+                self._effects.append(action)  # type: ignore[arg-type]  # probes, messages, logs pass as they are
+        # An attempt that a request left behind, and that the decisions did not cancel: nobody wants it.
+        for number in sorted(self._closing):
+            self._leave(self._requests[number])
+        self._closing.clear()
+
+    def _begin_anew(self, now: float, why: str) -> None:
+        self.faults += 1
+        self._effects.append(api.Log(f"decisions failed and begin anew: {why}"))
+        for request in list(self._requests.values()):
+            self._end(request, fx.FailRequest(request.id, "internal fault of the gateway"))
+            self._leave(request)
+        self._timers.clear()
+        self.gateway = Gateway(self.settings, self.seed + self.faults)
+        entries = tuple(self._engines.values())
+        if entries:
+            actions = self.gateway.step(now, [api.ListUpdate(api.ListMode.FULL, self._version, entries)])
+            for action in actions:
+                if isinstance(action, api.SetTimer):
+                    self._set_timer(action)
+
+    # --- what happened ---
+
+    def _on_submit(self, event: inp.Submit) -> list[api.Event]:
+        if event.request in self._requests:
+            raise ValueError(f"request {event.request} was submitted before")
+        request = self._requests[event.request] = _Request(event.request)
+        self._owed += 1
+        if self._stop_at is not None:  # a successor or another gateway takes it once this one is gone
+            wait = min(max(0.0, self._stop_at - self._now), self.settings.limits.max_retry_after)
+            self._end(request, fx.RefuseRequest(request.id, wait, "the gateway is stopping"))
+            self._leave(request)
+            return []
+        return [
+            api.Arrival(
+                event.request,
+                event.cls,
+                event.remaining,
+                event.tenant,
+                event.key,
+                event.cost,
+                event.memory_mb,
+                event.tables,
+                event.repeat,
+                event.write,
+            )
+        ]
+
+    def _find(self, request: int, attempt: int) -> tuple[_Request | None, _Attempt | None]:
+        entry = self._requests.get(request)
+        if entry is None or not 0 <= attempt < len(entry.attempts):
+            return None, None
+        return entry, entry.attempts[attempt]
+
+    def _on_ready(self, event: inp.ResultReady) -> list[api.Event]:
+        request, attempt = self._find(event.request, event.attempt)
+        if request is None or attempt is None or attempt.done or attempt.cancelled or request.ended:
+            return []
+        if request.committed is not None:
+            return []
+        request.committed = attempt.n
+        self._effects.append(fx.Commit(request.id, attempt.n))
+        for other in request.out:  # a byte of one result leaves: no other attempt may answer
+            if other is not attempt:
+                self._drop(request, other)
+        return [api.StreamStarted(request.id, attempt.n, attempt.engine)]
+
+    def _on_done(self, event: inp.AttemptDone) -> list[api.Event]:
+        request, attempt = self._find(event.request, event.attempt)
+        if request is None or attempt is None or attempt.done:
+            return []
+        attempt.done = True
+        outcome, final = event.outcome, False
+        if request.ended:
+            self._closing.add(request.id)
+        elif attempt.cancelled:
+            # Given up: what it brought can be given to nobody. Only that it never ran is still worth telling.
+            outcome = outcome if outcome in NEVER_RAN else api.Outcome.CANCELLED
+        elif outcome is api.Outcome.OK:
+            final = True
+            self._end(request, fx.Serve(request.id, attempt.n))
+        elif event.fault:
+            # The query is wrong on every engine: the engine's word is the answer. It says nothing of the
+            # engine's health or speed, and CANCELLED is the outcome that teaches neither.
+            final, outcome = True, api.Outcome.CANCELLED
+            self._end(request, fx.Serve(request.id, attempt.n, fault=True))
+        return [
+            api.AttemptEnded(
+                request.id,
+                attempt.n,
+                attempt.engine,
+                outcome,
+                event.elapsed,
+                final,
+                event.work,
+                event.memory_mb,
+                event.report,
+            )
+        ]
+
+    def _on_note(self, event: inp.AttemptNote) -> list[api.Event]:
+        request, attempt = self._find(event.request, event.attempt)
+        if request is None or attempt is None or attempt.done:
+            return []
+        return [api.Note(request.id, attempt.n, attempt.engine, event.kind, event.amount)]
+
+    def _on_left(self, event: inp.ClientLeft) -> list[api.Event]:
+        request = self._requests.get(event.request)
+        if request is None or request.ended:
+            return []
+        self._end(request, None)
+        return [api.ClientGone(event.request)]
+
+    def _on_list(self, event: api.ListUpdate) -> list[api.Event]:
+        if event.mode is not api.ListMode.FAILED:
+            if event.mode is not api.ListMode.DELTA:
+                self._engines.clear()
+            self._engines.update({e.engine: e for e in event.entries})
+            self._version = event.version
+            self._recall()
+        return [event]
+
+    def _recall(self) -> None:
+        """What has not left for an engine that drains or is gone does not leave (rule 3, without grace)."""
+        for request in self._requests.values():
+            for attempt in request.out:
+                entry = self._engines.get(attempt.engine)
+                if entry is None or entry.state is not api.EngineState.READY:
+                    self._effects.append(fx.RecallAttempt(request.id, attempt.n))
+
+    def _on_stop_taking(self, event: inp.StopTaking) -> list[api.Event]:
+        if self._stop_at is None:
+            self._stop_at = self._now + event.grace
+        return []
+
+    def _on_stop_now(self, event: inp.StopNow) -> list[api.Event]:
+        self._stop_at = min(self._now, self._stop_at or self._now)
+        return [api.Stop()]
+
+    # --- what was decided ---
+
+    def _send(self, action: api.Send) -> None:
+        request = self._requests.get(action.request)
+        if request is None or request.ended:
+            self._effects.append(api.Log(f"send for request {action.request}, which has ended, was dropped"))
+            return
+        grant, priority = request.terms or (0.0, None)
+        request.terms = None
+        attempt = _Attempt(len(request.attempts), action.engine)
+        request.attempts.append(attempt)
+        self._effects.append(
+            fx.StartAttempt(request.id, attempt.n, action.engine, action.timeout, grant, priority)
+        )
+
+    def _set_terms(self, action: api.SetTerms) -> None:
+        if action.request in self._requests:
+            self._requests[action.request].terms = (action.grant_mb, action.priority)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        request, attempt = self._find(action.request, action.attempt)
+        if request is not None and attempt is not None:
+            self._drop(request, attempt)
+
+    def _drop(self, request: _Request, attempt: _Attempt) -> None:
+        """Give an attempt up; whatever it brings from now on is worth nothing."""
+        if attempt.done or attempt.cancelled:
+            return
+        attempt.cancelled = True
+        may = self.settings.limits.cancel
+        kind = fx.CancelAttempt if may else fx.DiscardAttempt
+        self._effects.append(kind(request.id, attempt.n))
+
+    def _refuse(self, action: api.Refuse) -> None:
+        why = "no engine can serve it in time"
+        self._answer(action.request, fx.RefuseRequest(action.request, action.retry_after, why))
+
+    def _fail(self, action: api.Fail) -> None:
+        self._answer(action.request, fx.FailRequest(action.request, "no answer in time, and it may have run"))
+
+    def _answer(self, number: int, answer: fx.Effect) -> None:
+        if number in self._requests:
+            self._end(self._requests[number], answer)
+
+    def _end(self, request: _Request, answer: fx.Effect | None) -> None:
+        """The one place where final answers come from; None: the client has gone, and is owed none."""
+        if not request.ended:
+            request.ended = True
+            self._owed -= 1
+            self._closing.add(request.id)
+            if answer is not None:
+                self._effects.append(answer)
+
+    def _leave(self, request: _Request) -> None:
+        for attempt in request.out:
+            self._drop(request, attempt)
+        if not request.out:
+            self._requests.pop(request.id, None)
+            self._closing.discard(request.id)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        heapq.heappush(self._timers, (action.at, action.token))
--- /dev/null
+++ b/saffronlane/dispatch/effects.py
@@ -0,0 +1,95 @@
+"""What the dispatcher wants done. Each effect is carried out once, in order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .. import interface as api
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Run the request on an engine; the attempt ends by itself after `timeout` seconds."""
+
+    request: int
+    attempt: int
+    engine: bytes
+    timeout: float
+    grant_mb: float = 0.0
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Stop it at its engine. Its end is told by AttemptDone once the engine has taken that in."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class DiscardAttempt:
+    """Throw away what it brings: nobody wants it, and it may not be cancelled."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecallAttempt:
+    """Do not send it if it has not left: its engine drains or is gone."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """Pass the result of this attempt on, and of no other."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Final answer: the whole result of this attempt, status OK (or, with `fault`, the engine's status)."""
+
+    request: int
+    attempt: int
+    fault: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseRequest:
+    """Final answer: not done, safe to try again after so many seconds."""
+
+    request: int
+    retry_after: float
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class FailRequest:
+    """Final answer: failed, no promise."""
+
+    request: int
+    why: str
+
+
+Effect = (
+    StartAttempt
+    | CancelAttempt
+    | DiscardAttempt
+    | RecallAttempt
+    | Commit
+    | Serve
+    | RefuseRequest
+    | FailRequest
+    | api.Probe
+    | api.CloseIdle
+    | api.Tell
+    | api.FetchList
+    | api.Subscribe
+    | api.Log
+)
--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -241,6 +241,11 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The gateway ends now: everything that it owes gets its final answer."""
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
     engine: bytes
@@ -265,6 +270,7 @@
     | TimerFired
     | ProbeResult
     | PeerMessage
+    | Stop
 )
 
 
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -179,6 +179,7 @@
             api.ListUpdate: self.on_list, api.Arrival: self.on_arrival, api.AttemptEnded: self.on_ended,
             api.Note: self.on_note, api.TimerFired: self.on_timer, api.PeerMessage: self.on_peer,
             api.ClientGone: self.on_gone, api.StreamStarted: self.on_stream, api.ProbeResult: self.on_probe,
+            api.Stop: self.on_stop,
         }  # fmt: skip
         self.timers: dict[int, Job | Attempt | None] = {}  # None: housekeeping
         self.next_token, self.wake = 1, -math.inf
@@ -777,6 +778,10 @@
         if event.request in self.jobs:
             self.finish(self.jobs[event.request], answer=False)
 
+    def on_stop(self, event: api.Stop) -> None:
+        for job in list(self.jobs.values()):
+            self.finish(job)
+
     def on_stream(self, event: api.StreamStarted) -> None:
         if event.request in self.jobs:
             self.jobs[event.request].streaming = True
