--- a/saffronlane/__init__.py
+++ b/saffronlane/__init__.py
@@ -1,5 +1,6 @@
-"""saffronlane: the decisions of a query gateway, as a library."""
+"""The decisions of a query gateway; see `interface` and `rules`."""
 
 from .rules import Gateway
 
-__all__ = ["Gateway"]
+__all__ = ["Gateway", "__version__"]
+__version__ = "0.2.0"
--- /dev/null
+++ b/saffronlane/__main__.py
@@ -0,0 +1,3 @@
+from .cli import main
+
+main()
--- /dev/null
+++ b/saffronlane/cli.py
@@ -0,0 +1,130 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+from pathlib import Path
+
+import click
+
+from . import __version__, logs
+from .config import Config, ConfigError, load_config, schema_text
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+
+
+@click.group()
+@click.version_option(__version__)
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+def main(log_level: str) -> None:
+    """saffronlane admits queries and routes them to analytic engines."""
+    logs.set_up(log_level)
+
+
+def _load(path: Path) -> Config:
+    try:
+        return load_config(path)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+
+
+@main.command()
+@click.argument("config", type=FILE)
+def serve(config: Path) -> None:
+    """Run the gateway until SIGTERM, which drains it; a second one ends it at once."""
+    from .daemon import serve as run
+
+    loaded = _load(config)
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 20)  # many long-lived objects: the default looks at them all too often
+    try:
+        asyncio.run(run(loaded))
+    except OSError as error:
+        click.echo(f"{config}: /listen: {error}", err=True)
+        sys.exit(2)
+
+
+@main.group("config")
+def config_group() -> None:
+    """Look at settings."""
+
+
+@config_group.command()
+@click.argument("config", type=FILE)
+def check(config: Path) -> None:
+    """Check a settings file, and the engine list that it names if that is there."""
+    from .config import parse_engines
+    from .config.check import load_json
+
+    loaded = _load(config)
+    try:
+        if loaded.engine_file.exists():
+            parse_engines(load_json(loaded.engine_file), loaded, str(loaded.engine_file))
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    click.echo(f"{config}: good")
+
+
+@config_group.command()
+def schema() -> None:
+    """Print the JSON Schema of the settings."""
+    click.echo(schema_text())
+
+
+@main.command()
+@click.argument("record", type=FILE)
+def replay(record: Path) -> None:
+    """Play a record of a gateway's core through the library, and compare what it does."""
+    from .dispatch.journal import JournalError
+    from .dispatch.journal import replay as play
+
+    steps = 0
+    try:
+        for now, recorded, made in play(record):
+            if recorded != made:
+                click.echo(f"step {steps} at {now:.6f} differs:\n recorded {recorded}\n made     {made}")
+                sys.exit(1)
+            steps += 1
+    except (JournalError, OSError) as error:
+        click.echo(f"{record}: {error}", err=True)
+        sys.exit(2)
+    click.echo(f"{steps} steps, all the same")
+
+
+@main.group()
+def lab() -> None:
+    """Stand-in engines and scripted days."""
+
+
+@lab.command()
+@click.argument("config", type=FILE)
+def engine(config: Path) -> None:
+    """Run one stand-in engine."""
+    from .config.check import load_json
+    from .lab.engine import read_engine_config
+    from .lab.up import run_engine
+
+    try:
+        shape = read_engine_config(load_json(config), config.stem)
+    except (ConfigError, ValueError, TypeError) as error:
+        click.echo(f"{config}: {error}", err=True)
+        sys.exit(2)
+    asyncio.run(run_engine(shape))
+
+
+@lab.command()
+@click.option("--engines", default=3, show_default=True, type=click.IntRange(1, 100))
+@click.option("--gateways", default=1, show_default=True, type=click.IntRange(1, 16))
+def up(engines: int, gateways: int) -> None:
+    """Engines and a gateway on loopback until SIGINT or SIGTERM."""
+    from .lab.up import run_up
+
+    asyncio.run(run_up(engines, gateways))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/saffronlane/config/__init__.py
@@ -0,0 +1,19 @@
+"""Settings: JSON checked by a JSON Schema (2020-12), every error at once and each with its place."""
+
+from .check import ConfigError, Problem, load_json, problems_of
+from .engines import EngineRecord, parse_engines
+from .settings import Config, Matcher, load_config, parse_config, schema_text
+
+__all__ = [
+    "Config",
+    "ConfigError",
+    "EngineRecord",
+    "Matcher",
+    "Problem",
+    "load_config",
+    "load_json",
+    "parse_config",
+    "parse_engines",
+    "problems_of",
+    "schema_text",
+]
--- /dev/null
+++ b/saffronlane/daemon.py
@@ -0,0 +1,194 @@
+"""The daemon: sockets, signals and the engine list around one Executor and its Dispatcher."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+import socket
+import time
+from pathlib import Path
+from typing import BinaryIO
+
+import structlog
+
+from . import dispatch as d
+from .config import Config, EngineRecord
+from .dispatch.journal import Journal
+from .engines import Executor, ExecutorLimits
+from .engines.pool import PoolLimits
+from .flight import FlightFront
+from .http2 import ConnectionLimits
+from .http2.transport import local_sockets
+from .interface import PeerMessage
+from .members import FileSource, View
+from .rpc import Server
+
+log = structlog.get_logger()
+LAST_WORDS = 1.0  # seconds that answers already given have to reach their clients at the end
+
+
+class Daemon:
+    """One gateway process. `start`, then `run` until `stop`."""
+
+    def __init__(self, config: Config, share_port: bool = False) -> None:
+        self.config = config
+        seed = config.seed if config.seed is not None else secrets.randbits(32)
+        self._loop = asyncio.get_running_loop()
+        self._record: BinaryIO | None = None
+        journal = None
+        if config.record is not None:
+            path = config.record
+            if share_port:
+                path = path.with_name(f"{path.name}.{config.settings.position}")
+            self._record = path.open("wb")
+            journal = Journal(self._record, config.settings, seed)
+        self.view = View(self._loop.time, time.time)
+        self.dispatcher = d.Dispatcher(config.settings, seed, journal)
+        http = ConnectionLimits(max_streams=config.max_streams, keepalive_after=config.keepalive)
+        limits = ExecutorLimits(
+            hold_back=config.hold_back,
+            cancel_wait=config.cancel_wait,
+            pool=PoolLimits(config.connect_timeout, config.per_engine),
+        )
+        self.peers = Peers(config, self._on_peer) if config.peer_listen is not None else None
+        self.executor = Executor(
+            self.dispatcher,
+            limits,
+            self.view.address,
+            self.peers.send if self.peers is not None else None,
+            str(config.settings.position),
+        )
+        self.front = FlightFront(config, self.executor)
+        self.server = Server(self.front.handlers, http, config.max_connections, config.max_message)
+        self.source = FileSource(config, self._on_list)
+        self._share_port = share_port
+        self._watch: asyncio.Task[None] | None = None
+        self._stopping: asyncio.Task[None] | None = None
+        self.ended = asyncio.Event()
+        self.port = 0
+
+    def _on_list(self, version: int, records: tuple[EngineRecord, ...]) -> None:
+        before = self.view.snapshot
+        self.executor.feed(self.view.replace(version, records))
+        for engine in before:
+            if engine not in self.view.snapshot:
+                self.executor.forget_engine(engine)
+        states = [r.state.name.lower() for r in records]
+        log.info("engine list", version=version, engines=len(records), ready=states.count("ready"))
+
+    def _on_peer(self, sender: int, data: bytes) -> None:
+        self.executor.feed(PeerMessage(sender, data))
+
+    def start(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen. OSError where the address cannot be had."""
+        if not self.source.look():
+            log.warning("no engine list yet", file=str(self.config.engine_file))
+        sockets = sockets or local_sockets(self.config.host, self.config.port, self._share_port)
+        self.port = sockets[0].getsockname()[1]
+        self.server.listen(sockets)
+        if self.peers is not None:
+            self.peers.start()
+        self._watch = self._loop.create_task(self.source.watch())
+        log.info(
+            "listening",
+            flight_sql=f"grpc://{self.config.host}:{self.port}",
+            host=self.config.host,
+            port=self.port,
+            position=self.config.settings.position,
+        )
+
+    def stop(self) -> None:
+        """The first call drains; a second one ends at once."""
+        if self._stopping is None:
+            log.info("stopping", owed=self.dispatcher.owed, grace=self.config.grace)
+            self._stopping = self._loop.create_task(self._drain())
+        else:
+            log.warning("ended at once", owed=self.dispatcher.owed)
+            self._close()
+
+    async def _drain(self) -> None:
+        """Refuse what is new, let what runs end, and give every client its answer before the end."""
+        self.executor.feed(d.StopTaking(self.config.grace))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.config.grace):
+                await self._nothing_owed()
+        self.executor.feed(d.StopNow())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_WORDS):
+                await self._nothing_owed()
+                self.server.drain()
+                while self.server.open_calls:
+                    await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)  # the last frames leave in the turns after they were queued
+        self._close()
+
+    async def _nothing_owed(self) -> None:
+        await asyncio.sleep(0)
+        while self.dispatcher.owed:
+            await asyncio.sleep(0.01)
+
+    def _close(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+        if self.peers is not None:
+            self.peers.close()
+        self.executor.close()
+        self.server.close()
+        if self._record is not None:
+            self._record.close()
+            self._record = None
+        self.ended.set()
+
+    async def run(self) -> None:
+        await self.ended.wait()
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Messages between gateways: one UDP datagram each, lost ones stay lost. Senders are known by address."""
+
+    MOST = 256
+
+    def __init__(self, config: Config, on_message: object) -> None:
+        self._config = config
+        self._on_message = on_message
+        self._transport: asyncio.DatagramTransport | None = None
+        self._positions = {address: n for n, address in enumerate(config.peer_addresses)}
+        self._task: asyncio.Task[object] | None = None
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(
+            loop.create_datagram_endpoint(lambda: self, local_addr=self._config.peer_listen)
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = self._positions.get(addr)
+        if sender is not None and len(data) <= self.MOST and callable(self._on_message):
+            self._on_message(sender, data)
+
+    def send(self, peer: int | None, data: bytes) -> None:
+        if self._transport is None or len(data) > self.MOST:
+            return
+        for position, address in enumerate(self._config.peer_addresses):
+            if position != self._config.settings.position and peer in (None, position):
+                self._transport.sendto(data, address)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def serve(config: Config, share_port: bool = False, ready: Path | None = None) -> None:
+    """Run a daemon until SIGTERM or SIGINT."""
+    import signal
+
+    daemon = Daemon(config, share_port)
+    daemon.start()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.stop)
+    await daemon.run()
--- a/saffronlane/rpc/server.py
+++ b/saffronlane/rpc/server.py
@@ -105,6 +105,15 @@
         self._transport.flush()
         self._release()
 
+    def reset(self, code: int) -> None:
+        """End the call without a status."""
+        if not self.done:
+            self.done = True
+            self._transport.http.reset(self._stream_id, code)
+            self.inbox.drop()
+            self._transport.flush()
+            self._release()
+
     def gone(self) -> None:
         """The client's stream has ended: reset, or lost with its connection."""
         if not self.done:
@@ -118,12 +127,16 @@
         self._release()
 
     def _release(self) -> None:
-        if self.timer is not None:
+        """Let the timer go, unless the answer still waits for a client that does not read."""
+        if self.timer is not None and not self._transport.http.queued(self._stream_id):
             self.timer.cancel()
 
     def expire(self) -> None:
-        """The client's time is over, and the handler has not ended the call."""
-        if not self.done:
+        """The client's time is over: whatever it has not read by now it does not want."""
+        if self.done:
+            self._transport.http.reset(self._stream_id, ErrorCode.CANCEL)
+            self._transport.flush()
+        else:
             if self.on_gone is not None:
                 self.on_gone()
             self.finish(Status(Code.DEADLINE_EXCEEDED, "the call's time is over"))
