--- a/saffronlane/cli.py
+++ b/saffronlane/cli.py
@@ -126,5 +126,62 @@
     asyncio.run(run_up(engines, gateways))
 
 
+@lab.command()
+@click.argument("day", type=FILE)
+@click.option(
+    "--report", type=click.Path(file_okay=False, path_type=Path), help="Leave record and result here."
+)
+@click.option("--seed", type=int, help="In place of the day's own.")
+def day(day: Path, report: Path | None, seed: int | None) -> None:
+    """Play a scripted bad day (a file or a shipped name) on real sockets; exit 1 if a rule broke."""
+    from .lab.day import load_day, run_day, summary, table
+    from .lab.days import shipped
+
+    path = day if day.exists() or day.suffix else shipped(day.name)
+    try:
+        loaded = load_day(path)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    if seed is not None:
+        loaded.raw["seed"] = seed
+    outcome = run_day(loaded, report)
+    click.echo(table(outcome))
+    breaches = summary(outcome)["breaches"]
+    for breach in breaches:
+        click.echo(breach)
+    bad = [code for code in outcome.exit_codes if code]
+    if bad:
+        click.echo(f"gateways ended with exit codes {bad}")
+    click.echo("no rule broke" if not breaches else f"{len(breaches)} breaches")
+    sys.exit(1 if breaches or bad else 0)
+
+
+@lab.command()
+def days() -> None:
+    """Name the days that ship with the program."""
+    from .lab.days import names
+
+    for name in names():
+        click.echo(name)
+
+
+@main.command()
+@click.option("--seed", type=int, default=1)
+def demo(seed: int) -> None:
+    """A short day with faults, asked by the ADBC driver and by ours, and what came of each class."""
+    from .lab.day import load_day, run_day, summary, table
+    from .lab.days import shipped
+
+    loaded = load_day(shipped("demo"))
+    loaded.raw["seed"] = seed
+    click.echo(loaded.raw["about"])
+    outcome = run_day(loaded)
+    click.echo(table(outcome))
+    breaches = summary(outcome)["breaches"]
+    click.echo("\n".join(breaches) if breaches else "no rule broke")
+    sys.exit(1 if breaches else 0)
+
+
 if __name__ == "__main__":
     main()
--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -78,7 +78,7 @@
     id: int
     work: Work
     sink: Sink
-    key: int
+    key: str  # that engines know the request by
     running: dict[int, _Running] = field(default_factory=dict)
     last_error: str = ""
     answered: bool = False
@@ -155,7 +155,7 @@
 
     # --- the front's side ---
 
-    def submit(self, work: Work, sink: Sink, arrival: Callable[[int], d.Submit], key: int = 0) -> int:
+    def submit(self, work: Work, sink: Sink, arrival: Callable[[int], d.Submit], key: str = "") -> int:
         """Take a request; its answer comes by `sink`. Returns its number."""
         number = self.dispatcher.new_request()
         self._requests[number] = _Request(number, work, sink, key)
@@ -505,7 +505,7 @@
             ("saffronlane-attempt", str(running.n)),
         ]
         if running.request.key:
-            extra.append(("saffronlane-key", str(running.request.key)))
+            extra.append(("saffronlane-key", running.request.key))
         if effect.grant_mb:
             extra.append(("saffronlane-grant-mb", f"{effect.grant_mb:.1f}"))
         if effect.priority is not None:
--- a/saffronlane/engines/outcomes.py
+++ b/saffronlane/engines/outcomes.py
@@ -9,8 +9,7 @@
 from dataclasses import dataclass
 
 from ..interface import Outcome
-from ..rpc.client import Ending
-from ..rpc.status import Code, Status
+from ..rpc.status import Code, Ending, Status
 
 NEVER_RAN = "NEVER_RAN"  # ErrorInfo.reason: the engine's explicit word that it did nothing
 QUERY_FAULTS = frozenset(
--- a/saffronlane/flight/identity.py
+++ b/saffronlane/flight/identity.py
@@ -1,6 +1,8 @@
-"""What a request is to the decisions: its class, tenant, key and told cost.
+"""What a request is to the decisions: its class, tenant, keys and told cost.
 
-A call header counts before a session option, and that before the settings' matchers.
+A call header counts before a session option, and that before the settings' matchers. Two keys are told apart:
+`key` names the request itself, so that engines discard its repeats; `order` names what it is about, so that
+requests of an ordered class that share it run one after another.
 """
 
 from __future__ import annotations
@@ -17,7 +19,7 @@
 from .sql import Statement
 
 PREFIX = "saffronlane-"
-NAMES = ("class", "tenant", "key", "cost", "memory-mb", "deadline-s")
+NAMES = ("class", "tenant", "key", "order", "cost", "memory-mb", "deadline-s")
 NUMBERS = ("cost", "memory-mb", "deadline-s")
 
 
@@ -25,7 +27,8 @@
 class Identity:
     cls: int
     tenant: int
-    key: int  # 0: none
+    key: str  # that engines know the request by; empty: none
+    order: int  # 0: none
     cost: float  # told work in seconds; 0: not told
     memory_mb: float
     deadline: float  # seconds that the client waits
@@ -94,13 +97,18 @@
         return Identity(
             index,
             tenant or 0,
-            int.from_bytes(blake2b(key.encode(), digest_size=7).digest(), "big") if key else 0,
+            _digest(known.name, key).hex() if key else "",
+            int.from_bytes(_digest("", said["order"])[:7], "big") if said.get("order") else 0,
             _number(said.get("cost", "")) or 0.0,
             _number(said.get("memory-mb", "")) or 0.0,
             _number(said.get("deadline-s", "")) or known.deadline,
         )
 
 
+def _digest(scope: str, text: str) -> bytes:
+    return blake2b(f"{scope}\0{text}".encode(), digest_size=16).digest()
+
+
 def _number(text: str) -> float | None:
     try:
         value = float(text)
--- a/saffronlane/flight/service.py
+++ b/saffronlane/flight/service.py
@@ -36,7 +36,7 @@
     "CreatePreparedStatement": "Prepare a statement.",
     "ClosePreparedStatement": "Forget a prepared statement.",
     "CancelFlightInfo": "Cancel the queries of a FlightInfo.",
-    "SetSessionOptions": "Set class, tenant, key, cost, memory-mb or deadline-s for the session.",
+    "SetSessionOptions": "Set class, tenant, key, order, cost, memory-mb or deadline-s for the session.",
     "GetSessionOptions": "Tell the session's options.",
     "CloseSession": "End the session.",
 }
@@ -225,7 +225,7 @@
                 identity.cls,
                 remaining,
                 identity.tenant,
-                identity.key,
+                identity.order,
                 identity.cost,
                 identity.memory_mb,
                 statement.group,
--- a/saffronlane/lab/engine.py
+++ b/saffronlane/lab/engine.py
@@ -32,6 +32,7 @@
 SERVICE = "/arrow.flight.protocol.FlightService/"
 _HINT = re.compile(r"/\*\s*lab\s+([^*]*)\*/")
 Record = Callable[[dict[str, Any]], None]
+Keys = dict[str, tuple[float, list[bytes]]]  # by key: until when it is remembered, and the answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +78,7 @@
 class StandIn:
     """One engine. Every query's start and end goes to `record`, as seen on its sockets."""
 
-    def __init__(self, config: EngineConfig, record: Record | None = None) -> None:
+    def __init__(self, config: EngineConfig, record: Record | None = None, keys: Keys | None = None) -> None:
         import numpy as np
 
         self.config = config
@@ -87,7 +88,7 @@
         self._random = np.random.default_rng([config.seed, *config.id.encode()])
         self._record = record or (lambda event: None)
         self._loop = asyncio.get_running_loop()
-        self._keys: dict[str, tuple[float, list[bytes]]] = {}
+        self._keys: Keys = {} if keys is None else keys
         self._ends: dict[int, asyncio.Future[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._server: Server | None = None
@@ -105,7 +106,6 @@
         now = self._loop.time()
         self.machine = Machine(self.config.shape, now if cold else now - 1e6)
         self.started_wall = time.time() if cold else 0.0
-        self._keys.clear()
         handlers = {
             "GetFlightInfo": self._get_flight_info,
             "DoGet": self._do_get,
@@ -253,7 +253,8 @@
             raise RpcError(Status(Code.INTERNAL, "a fault of the engine"))
         key = str(told["key"])
         now = self._loop.time()
-        self._keys = {k: v for k, v in self._keys.items() if v[0] > now}
+        for old in [k for k, v in self._keys.items() if v[0] <= now]:
+            del self._keys[old]
         if key and key in self._keys:
             self._tell("discarded", told)  # the repeat of a keyed query has no effect of its own
             messages = self._keys[key][1]
--- a/saffronlane/rpc/client.py
+++ b/saffronlane/rpc/client.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from enum import Enum
 
 from tornado.tcpclient import TCPClient
 
@@ -24,17 +23,7 @@
 from . import framing
 from .call import Gate, Mailbox
 from .metadata import Metadata, read_status, status_of_http, to_headers, write_timeout
-from .status import OK, Code, RpcError, Status
-
-
-class Ending(Enum):
-    """What is known of a call that is over."""
-
-    STATUS = "status"  # the peer's own word
-    UNPROCESSED = "unprocessed"  # certainly never handled by the peer
-    RESET = "reset"  # its stream was reset, or the answer was none
-    LOST = "lost"  # its connection broke
-    CANCELLED = "cancelled"  # by us
+from .status import OK, Code, Ending, RpcError, Status
 
 
 class ClientCall:
--- a/saffronlane/rpc/status.py
+++ b/saffronlane/rpc/status.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 from google.protobuf.message import DecodeError
 from google.rpc import error_details_pb2, status_pb2
@@ -31,6 +31,16 @@
     UNAUTHENTICATED = 16
 
 
+class Ending(Enum):
+    """What is known of a call that is over."""
+
+    STATUS = "status"  # the peer's own word
+    UNPROCESSED = "unprocessed"  # certainly never handled by the peer
+    RESET = "reset"  # its stream was reset, or the answer was none
+    LOST = "lost"  # its connection broke
+    CANCELLED = "cancelled"  # by us
+
+
 @dataclass(frozen=True, slots=True)
 class Status:
     """How a call ended. `details` is a serialized google.rpc.Status, or empty."""
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -170,6 +170,7 @@
         self.jobs: dict[int, Job] = {}  # owed a final answer
         self.attempts: dict[tuple[int, int], Attempt] = {}  # without an outcome, also of ended requests
         self.held: dict[int, Job] = {}
+        self.backlog: float | None = None  # thread seconds held; summed once a batch, when first asked for
         self.turns = Turns()  # rule 5
         self.taken, self.extras = Window(), Window()  # rule 7: arrivals and further attempts
         self.distrust = self.asked = False
@@ -481,7 +482,7 @@
             self.trial_credit -= 1.0
         job.attempts.append(attempt)
         job.out += 1
-        self.held.pop(job.id, None)
+        self.let_go(job)
         self.attempts[job.id, attempt.n] = engine.out[job.id, attempt.n] = attempt
         self.count(attempt, 1.0)
         engine.recent.add(now, work, HORIZON)
@@ -504,7 +505,7 @@
             return
         job.ended = True
         self.jobs.pop(job.id, None)
-        self.held.pop(job.id, None)
+        self.let_go(job)
         if answer:
             alone = job.cls.effect is not Effect.SAFE and job.cls.group is not Group.ALL
             if self.open(job) and not (alone and job.first_maybe()):
@@ -516,10 +517,18 @@
                 self.cancel(attempt)
         self.turns.leave(job)
 
+    def let_go(self, job: Job) -> None:
+        if self.held.pop(job.id, None) and self.backlog is not None:
+            self.backlog -= self.exec_time(job) * job.cls.threads
+
     def retry_after(self, job: Job) -> float:
-        """The time in which the work held here would drain, within what clients honour; 0 where none do."""
-        backlog = sum(self.exec_time(j) * j.cls.threads for j in self.held.values())
-        wait = backlog * self.settings.gateways / self.cores if self.cores else math.inf
+        """The time in which the work held here would drain, within what clients honour; 0 where none do.
+
+        Summed once a batch: thousands refused at once, each with its own sum, would all be answered late.
+        """
+        if self.backlog is None:
+            self.backlog = sum(self.exec_time(j) * j.cls.threads for j in self.held.values())
+        wait = max(0.0, self.backlog) * self.settings.gateways / self.cores if self.cores else math.inf
         most = self.limits.max_retry_after if self.limits.retry_after else 0.0
         return min(most, max(wait, self.exec_time(job)))
 
@@ -789,7 +798,7 @@
     def step(self, now: float, events: list[api.Event]) -> list[api.Action]:
         """Take in a whole batch, then release once, so that queries arriving together compete by deadline."""
         self.now, self.born = now, min(self.born, now)
-        self.actions = []
+        self.actions, self.backlog = [], None
         for event in events:
             if handler := self.handlers.get(type(event)):
                 handler(event)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,360 @@
+"""The dispatcher's core: one final answer each, no result of an attempt that was given up, nothing shared."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+from conftest import engine_id, make_settings, one_class
+
+from saffronlane import dispatch as d
+from saffronlane import interface as api
+from saffronlane.dispatch.journal import Journal, JournalError, replay
+from saffronlane.interface import Effect, EngineState, Outcome
+
+ANSWERS = (d.Serve, d.RefuseRequest, d.FailRequest)
+
+
+class World:
+    """Drives one Dispatcher by hand, and keeps what it wanted done."""
+
+    def __init__(self, settings: api.Settings | None = None, engines: int = 3, seed: int = 1) -> None:
+        self.core = d.Dispatcher(settings or make_settings(), seed)
+        self.now = 10.0
+        self.effects: list[d.Effect] = []
+        self.list(dict.fromkeys(range(engines), EngineState.READY))
+
+    def step(self, *inputs: d.Input, after: float = 0.0) -> list[d.Effect]:
+        self.now += after
+        effects = self.core.step(self.now, list(inputs))
+        self.effects += effects
+        return effects
+
+    def list(self, states: dict[int, EngineState]) -> list[d.Effect]:
+        entries = tuple(api.EngineEntry(engine_id(n), state) for n, state in states.items())
+        return self.step(api.ListUpdate(api.ListMode.FULL, 1, entries))
+
+    def submit(self, remaining: float = 5.0, **fields: int) -> int:
+        request = self.core.new_request()
+        self.step(d.Submit(request, fields.pop("cls", 0), remaining, **fields))
+        return request
+
+    def done(self, request: int, outcome: Outcome, attempt: int = 0, **fields: object) -> list[d.Effect]:
+        return self.step(d.AttemptDone(request, attempt, outcome, 0.1, **fields), after=0.1)  # type: ignore
+
+    def pass_time(self, until: float) -> None:
+        while self.core.next_wake <= until:
+            self.now = max(self.now, self.core.next_wake)
+            self.step()
+        self.now = max(self.now, until)
+
+    def of(self, kind: type | tuple[type, ...], request: int | None = None) -> list[d.Effect]:
+        found = [e for e in self.effects if isinstance(e, kind)]
+        return [e for e in found if request is None or getattr(e, "request", None) == request]
+
+
+def test_an_answer_is_served_once() -> None:
+    world = World()
+    request = world.submit()
+    (start,) = world.of(d.StartAttempt)
+    assert (start.request, start.attempt) == (request, 0)
+    world.done(request, Outcome.OK)
+    assert world.of(ANSWERS) == [d.Serve(request, 0)]
+    world.done(request, Outcome.OK)  # told twice
+    world.pass_time(60.0)
+    assert len(world.of(ANSWERS)) == 1 and world.core.owed == 0 and world.core.attempts_out == 0
+
+
+def test_an_attempt_that_never_ran_is_tried_elsewhere() -> None:
+    world = World()
+    request = world.submit()
+    world.done(request, Outcome.CONNECT_FAILED)
+    first, second = world.of(d.StartAttempt, request)
+    assert first.engine != second.engine and second.attempt == 1
+    world.done(request, Outcome.OK, attempt=1)
+    assert world.of(ANSWERS) == [d.Serve(request, 1)]
+
+
+def test_the_result_of_a_cancelled_attempt_goes_to_nobody() -> None:
+    """An answer may cross its own cancel on the wire."""
+    world = World(make_settings(note_period=1.0))
+    request = world.submit()
+    world.pass_time(world.now + 4.0)  # no word: it is taken back
+    assert world.of(d.CancelAttempt) == [d.CancelAttempt(request, 0)]
+    assert len(world.of(d.StartAttempt, request)) == 1  # copies are not allowed: the first has to end
+    world.step(d.ResultReady(request, 0))
+    assert not world.of(d.Commit)
+    world.done(request, Outcome.OK)
+    assert not world.of(d.Serve)
+    assert [s.attempt for s in world.of(d.StartAttempt, request)] == [0, 1]
+    world.done(request, Outcome.OK, attempt=1)
+    assert world.of(ANSWERS) == [d.Serve(request, 1)]
+
+
+def test_an_answer_beats_the_timer_that_falls_into_the_same_step() -> None:
+    world = World()
+    request = world.submit(remaining=1.0)
+    world.step(d.AttemptDone(request, 0, Outcome.OK, 1.0), after=2.0)  # both are due
+    assert world.of(ANSWERS) == [d.Serve(request, 0)]
+
+
+def test_a_request_ends_in_time_whatever_its_engine_does() -> None:
+    world = World(make_settings(classes=one_class(effect=Effect.UNSAFE)))
+    request = world.submit(remaining=2.0)
+    world.pass_time(11.99)
+    (answer,) = world.of(ANSWERS)
+    assert isinstance(answer, d.FailRequest)  # it may have run, so no word of trying again
+    assert world.of(d.CancelAttempt) == [d.CancelAttempt(request, 0)]
+    assert world.core.attempts_out == 1
+    world.done(request, Outcome.CANCELLED)
+    assert world.core.attempts_out == 0 and len(world.of(ANSWERS)) == 1
+
+
+def test_a_committed_attempt_is_the_only_one() -> None:
+    limits = api.Limits(cancel=True, second_copies=True, max_attempts=3)
+    world = World(make_settings(limits=limits, classes=one_class(aim=0.2)))
+    request = world.submit()
+    world.pass_time(world.now + 2.0)
+    starts = world.of(d.StartAttempt, request)
+    assert len(starts) == 2, "a second copy was expected"
+    world.step(d.ResultReady(request, 0), d.ResultReady(request, 1))
+    assert world.of(d.Commit) == [d.Commit(request, 0)]
+    assert d.CancelAttempt(request, 1) in world.effects
+    world.done(request, Outcome.OK, attempt=1)  # it came all the same
+    assert not world.of(ANSWERS)
+    world.done(request, Outcome.OK, attempt=0)
+    assert world.of(ANSWERS) == [d.Serve(request, 0)]
+
+
+def test_a_result_that_breaks_off_halfway_ends_the_request() -> None:
+    world = World()
+    request = world.submit()
+    world.step(d.ResultReady(request, 0))
+    world.done(request, Outcome.RESET)
+    assert len(world.of(ANSWERS)) == 1 and not world.of(d.Serve)
+    assert len(world.of(d.StartAttempt, request)) == 1
+
+
+def test_a_query_that_is_wrong_itself_gets_the_engines_word_and_harms_no_engine() -> None:
+    world = World(engines=1)
+    for _ in range(10):
+        request = world.submit()
+        world.done(request, Outcome.ERROR, fault=True)
+        assert world.of(ANSWERS, request) == [d.Serve(request, 0, fault=True)]
+    assert not [e for e in world.of(api.Log) if "failing" in e.text]
+
+
+def test_a_drain_recalls_what_has_not_left() -> None:
+    world = World(engines=2)
+    request = world.submit()
+    (start,) = world.of(d.StartAttempt)
+    index = [engine_id(n) for n in range(2)].index(start.engine)
+    effects = world.list({index: EngineState.DRAINING, 1 - index: EngineState.READY})
+    assert d.RecallAttempt(request, 0) in effects
+    world.done(request, Outcome.MOOT)
+    second = world.of(d.StartAttempt, request)[1]
+    assert second.engine == engine_id(1 - index)
+
+
+def test_a_client_that_leaves_in_the_turn_of_its_arrival_starts_nothing() -> None:
+    world = World()
+    request = world.core.new_request()
+    world.step(d.Submit(request, 0, 5.0), d.ClientLeft(request))
+    assert not world.of(d.StartAttempt) and not world.of(ANSWERS)
+    assert world.core.owed == 0 and world.core.attempts_out == 0
+
+
+def test_a_client_that_leaves_has_its_attempt_cancelled() -> None:
+    world = World()
+    request = world.submit()
+    world.step(d.ClientLeft(request))
+    assert world.of(d.CancelAttempt) == [d.CancelAttempt(request, 0)]
+    world.done(request, Outcome.CANCELLED)
+    assert not world.of(ANSWERS) and not world.core._requests
+
+
+def test_a_stop_refuses_what_is_new_and_answers_what_is_owed() -> None:
+    settings = make_settings(classes=one_class(effect=Effect.UNSAFE))
+    world = World(settings)
+    running = world.submit()
+    world.step(d.StopTaking(5.0))
+    late = world.submit()
+    (refusal,) = world.of(ANSWERS, late)
+    assert isinstance(refusal, d.RefuseRequest) and 0.0 < refusal.retry_after <= 5.0
+    assert not world.of(ANSWERS, running)
+    world.step(d.StopNow(), after=5.0)
+    assert [type(a) for a in world.of(ANSWERS, running)] == [d.FailRequest]
+    assert world.core.owed == 0
+
+
+def test_ten_thousand_held_queries_when_the_fleet_vanishes() -> None:
+    world = World(engines=0)
+    requests = [world.core.new_request() for _ in range(10_000)]
+    for at in range(0, 10_000, 500):  # what arrives in one turn of the loop is one step
+        world.step(*[d.Submit(n, 0, 3.0) for n in requests[at : at + 500]])
+    assert world.core.owed == 10_000
+    world.pass_time(14.0)
+    answers = world.of(ANSWERS)
+    assert len(answers) == 10_000 and {a.request for a in answers} == set(requests)
+    assert not world.core._requests and not world.core.gateway.jobs
+
+
+def test_a_clock_that_goes_back_counts_as_standing_still() -> None:
+    world = World()
+    world.submit()
+    world.step(after=-100.0)
+    world.now += 100.0
+    request = world.submit()
+    world.done(request, Outcome.OK)
+    assert world.of(ANSWERS, request) == [d.Serve(request, 0)]
+
+
+def test_a_fault_in_the_decisions_loses_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World()
+    request = world.submit()
+
+    def fails(*_: object) -> list[api.Action]:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(world.core.gateway, "step", fails)
+    other = world.submit()
+    assert [type(a) for a in world.of(ANSWERS, request)] == [d.FailRequest]
+    assert [type(a) for a in world.of(ANSWERS, other)] == [d.FailRequest]
+    assert world.core.faults == 1
+    third = world.submit()  # the list is known anew, and life goes on
+    world.done(third, Outcome.OK)
+    assert world.of(ANSWERS, third) == [d.Serve(third, 0)]
+
+
+def test_a_request_cannot_be_submitted_twice() -> None:
+    world = World()
+    request = world.submit()
+    with pytest.raises(ValueError, match="before"):
+        world.step(d.Submit(request, 0, 1.0))
+
+
+def random_day(seed: int, settings: api.Settings) -> Iterator[tuple[float, list[d.Input]]]:
+    """A day that depends on what the dispatcher wants; the generator is sent its effects."""
+    random = Random(seed)
+    now, out, number = 100.0, [], 0
+    states = dict.fromkeys(range(5), EngineState.READY)
+    entries = tuple(api.EngineEntry(engine_id(n), s) for n, s in states.items())
+    effects = yield now, [api.ListUpdate(api.ListMode.FULL, 1, entries)]
+    for _ in range(300):
+        now += random.random() * 0.05
+        out += [e for e in effects or [] if isinstance(e, d.StartAttempt)]
+        inputs: list[d.Input] = []
+        if random.random() < 0.6:
+            number += 1
+            cls = random.randrange(len(settings.classes))
+            inputs.append(d.Submit(number, cls, 0.5 + 3.0 * random.random(), key=random.randrange(3)))
+        for start in [s for s in out if random.random() < 0.3]:
+            out.remove(start)
+            outcome = random.choice([Outcome.OK] * 8 + list(Outcome))
+            inputs.append(d.AttemptDone(start.request, start.attempt, outcome, random.random()))
+        if random.random() < 0.03:
+            states[random.randrange(5)] = random.choice(list(EngineState))
+            entries = tuple(api.EngineEntry(engine_id(n), s) for n, s in states.items())
+            inputs.append(api.ListUpdate(api.ListMode.FULL, 2, entries))
+        if number and random.random() < 0.05:
+            inputs.append(d.ClientLeft(random.randrange(1, number + 1)))
+        effects = yield now, inputs
+
+
+def play(seed: int, settings: api.Settings, core: d.Dispatcher) -> Iterator[list[d.Effect]]:
+    day = random_day(seed, settings)
+    now, inputs = next(day)
+    while True:
+        effects = core.step(now, inputs)
+        yield effects
+        try:
+            now, inputs = day.send(effects)  # type: ignore[attr-defined]
+        except StopIteration:
+            return
+
+
+SOME = (
+    api.ClassSettings("safe", aim=0.5, deadline=3.0),
+    api.ClassSettings("keyed", 1.0, 3.0, effect=Effect.KEYED, key_ttl=2.0),
+    api.ClassSettings("ordered", 1.0, 3.0, effect=Effect.UNSAFE, ordered=True),
+)
+
+
+def test_two_dispatchers_in_one_process_share_nothing() -> None:
+    """Two with different settings and seeds, in turns, do what each does alone."""
+    first, second = make_settings(classes=SOME), make_settings(classes=SOME[:2], gateways=3, position=1)
+    alone = [
+        list(play(1, first, d.Dispatcher(first, 5))),
+        list(play(2, second, d.Dispatcher(second, 6))),
+    ]
+    together = [play(1, first, d.Dispatcher(first, 5)), play(2, second, d.Dispatcher(second, 6))]
+    mixed: list[list[list[d.Effect]]] = [[], []]
+    random, live = Random(3), [0, 1]
+    while live:
+        which = random.choice(live)
+        effects = next(together[which], None)
+        if effects is None:
+            live.remove(which)
+        else:
+            mixed[which].append(effects)
+    assert mixed == alone
+    assert any(isinstance(e, ANSWERS) for step in alone[0] for e in step)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_every_request_of_a_random_day_ends_exactly_once(seed: int) -> None:
+    settings = make_settings(classes=SOME)
+    core = d.Dispatcher(settings, seed)
+    submitted, left, answers = set(), set(), []
+    day = random_day(seed, settings)
+    now, inputs = next(day)
+    while True:
+        submitted |= {i.request for i in inputs if isinstance(i, d.Submit)}
+        left |= {i.request for i in inputs if isinstance(i, d.ClientLeft)}
+        effects = core.step(now, inputs)
+        answers += [e.request for e in effects if isinstance(e, ANSWERS)]
+        try:
+            now, inputs = day.send(effects)  # type: ignore[attr-defined]
+        except StopIteration:
+            break
+    while core.next_wake < now + 30.0:
+        effects = core.step(core.next_wake, [])
+        answers += [e.request for e in effects if isinstance(e, ANSWERS)]
+    assert len(answers) == len(set(answers))
+    assert submitted - set(answers) <= left and core.owed == 0
+
+
+def test_a_record_is_played_again_with_the_same_effects(tmp_path: Path) -> None:
+    settings = make_settings(classes=SOME, note_period=1.0)
+    sink = io.BytesIO()
+    core = d.Dispatcher(settings, 9, Journal(sink, settings, 9))
+    for _ in play(4, settings, core):
+        pass
+    path = tmp_path / "record"
+    path.write_bytes(sink.getvalue())
+    steps = list(replay(path))
+    assert len(steps) == 301
+    assert all(recorded == made for _, recorded, made in steps)
+    path.write_bytes(sink.getvalue()[:-3])  # killed while it wrote
+    assert len(list(replay(path))) == 300
+
+
+def test_a_record_that_is_none_says_so(tmp_path: Path) -> None:
+    path = tmp_path / "record"
+    path.write_bytes(b"not a record")
+    with pytest.raises(JournalError, match="no settings"):
+        list(replay(path))
+
+
+def test_settings_without_cancel_discard_instead() -> None:
+    limits = replace(make_settings().limits, cancel=False)
+    world = World(make_settings(limits=limits))
+    request = world.submit(remaining=1.0)
+    world.pass_time(12.0)
+    assert len(world.of(ANSWERS, request)) == 1
+    assert world.of(d.DiscardAttempt) == [d.DiscardAttempt(request, 0)]
+    assert not world.of(d.CancelAttempt)
