--- a/saffronlane/engines/pool.py
+++ b/saffronlane/engines/pool.py
@@ -31,7 +31,7 @@
         self.host, self.port = host, port
         self._limits, self._http = limits, http
         self._channels: list[Channel] = []
-        self._connecting: asyncio.Task[Channel] | None = None
+        self._connecting: asyncio.Task[None] | None = None
         self._freed = asyncio.Event()
         self._waiting = 0
 
@@ -58,22 +58,21 @@
         """All that wait share one attempt to connect, and its failure."""
         if self._connecting is None:
             self._connecting = asyncio.get_running_loop().create_task(self._open())
-            self._connecting.add_done_callback(self._connected)
         try:
             await asyncio.shield(self._connecting)
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{self.host}:{self.port}: {error or 'no connection in time'}") from None
 
-    def _connected(self, task: asyncio.Task[Channel]) -> None:
-        self._connecting = None
-        if not task.cancelled() and task.exception() is None:
-            self._channels.append(task.result())
-
-    async def _open(self) -> Channel:
-        channel = Channel(self.host, self.port)
-        channel.on_closed = self._freed.set
-        await channel.connect(self._limits.connect_timeout, self._http)
-        return channel
+    async def _open(self) -> None:
+        # All bookkeeping happens before the task is done. In a callback of the task it could come too late:
+        # awaiting a done task does not give way, and who looks for a channel again would spin for ever.
+        try:
+            channel = Channel(self.host, self.port)
+            channel.on_closed = self._freed.set
+            await channel.connect(self._limits.connect_timeout, self._http)
+            self._channels.append(channel)
+        finally:
+            self._connecting = None
 
     def released(self) -> None:
         """A call has ended: whoever waits for a stream may look again."""
--- a/saffronlane/lab/engine.py
+++ b/saffronlane/lab/engine.py
@@ -331,16 +331,18 @@
             call.write_now(orca.write_note(kind, amount))
 
     def _schedule(self) -> None:
+        """Tell what has ended, and look again when the next run will."""
+        for run in self.machine.collect():
+            end = self._ends.get(id(run))
+            if end is not None and not end.done():
+                end.set_result(None)
         if self._timer is not None:
             self._timer.cancel()
         at = self.machine.next_end(self._loop.time())
         self._timer = self._loop.call_at(at, self._tick) if at < float("inf") else None
 
     def _tick(self) -> None:
-        for run in self.machine.advance(self._loop.time()):
-            end = self._ends.get(id(run))
-            if end is not None and not end.done():
-                end.set_result(None)
+        self.machine.advance(self._loop.time())
         self._schedule()
 
 
--- a/saffronlane/lab/model.py
+++ b/saffronlane/lab/model.py
@@ -47,6 +47,7 @@
     running: list[Run] = field(default_factory=list)
     line: deque[Run] = field(default_factory=deque)
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # (time, work) while cold
+    ended: list[Run] = field(default_factory=list)  # and not collected yet
     _at: float = -math.inf
 
     def capacity(self, now: float) -> float:
@@ -65,18 +66,21 @@
         single = capacity / self.shape.cores
         return 0.0 if self.hung or not threads else min(single, capacity / threads)
 
-    def advance(self, now: float) -> list[Run]:
-        """Let time pass; the runs that have ended."""
+    def collect(self) -> list[Run]:
+        """The runs that have ended since it was last asked, whatever made time pass."""
+        ended, self.ended = self.ended, []
+        return ended
+
+    def advance(self, now: float) -> None:
+        """Let time pass."""
         if self._at > -math.inf and self.running:
             rate = self._rate(now)
             for run in self.running:
                 run.done += rate * run.threads * (now - self._at)
         self._at = now
-        ended = [run for run in self.running if run.done >= run.work - 1e-9]
-        for run in ended:
-            self.running.remove(run)
+        self.ended += [run for run in self.running if run.done >= run.work - 1e-9]
+        self.running = [run for run in self.running if run.done < run.work - 1e-9]
         self._let_in()
-        return ended
 
     def _let_in(self) -> None:
         used = sum(run.memory_mb for run in self.running)
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -260,7 +260,9 @@
     events = ours.receive(b"".join(open_stream(n) for n in (1, 3, 5)), 0.0)
     assert [e.stream_id for e in events if isinstance(e, HeadersReceived)] == [1, 3]
     refused = [f for f in frames.FrameReader().feed(ours.output()) if f.kind == FrameType.RST_STREAM]
-    assert [(f.stream_id, frames.read_long(f.payload, "")) for f in refused] == [(5, ErrorCode.REFUSED_STREAM)]
+    assert [(f.stream_id, frames.read_long(f.payload, "")) for f in refused] == [
+        (5, ErrorCode.REFUSED_STREAM)
+    ]
 
 
 def test_a_frame_that_is_too_large() -> None:
