--- a/saffronlane/cli.py
+++ b/saffronlane/cli.py
@@ -33,15 +33,25 @@
 
 @main.command()
 @click.argument("config", type=FILE)
-def serve(config: Path) -> None:
+@click.option("--worker", type=int, hidden=True)
+@click.option("--port", type=int, hidden=True)
+@click.pass_context
+def serve(context: click.Context, config: Path, worker: int | None, port: int | None) -> None:
     """Run the gateway until SIGTERM, which drains it; a second one ends it at once."""
     from .daemon import serve as run
+    from .workers import as_worker, supervise
 
     loaded = _load(config)
+    level = context.find_root().params["log_level"]
+    if loaded.workers > 1 and worker is None:
+        work = supervise(config, level)
+    else:
+        loaded = loaded if worker is None else as_worker(loaded, worker, port or loaded.port)
+        work = run(loaded, share_port=worker is not None)
     gc.freeze()
     gc.set_threshold(50_000, 20, 20)  # many long-lived objects: the default looks at them all too often
     try:
-        asyncio.run(run(loaded))
+        asyncio.run(work)
     except OSError as error:
         click.echo(f"{config}: /listen: {error}", err=True)
         sys.exit(2)
--- a/saffronlane/daemon.py
+++ b/saffronlane/daemon.py
@@ -7,7 +7,6 @@
 import secrets
 import socket
 import time
-from pathlib import Path
 from typing import BinaryIO
 
 import structlog
@@ -182,7 +181,7 @@
             self._transport.close()
 
 
-async def serve(config: Config, share_port: bool = False, ready: Path | None = None) -> None:
+async def serve(config: Config, share_port: bool = False) -> None:
     """Run a daemon until SIGTERM or SIGINT."""
     import signal
 
