Bounds: requests owed, hash orders, pools, polls, calls whose request never comes

Need: each map and queue needs something that empties or bounds it. A flood of arrivals is refused past front.max_requests (each held query makes a step dearer: 36 ms with 10,000); Gateway.orders grew with every table group that clients named, until the next list; the pool of an engine that left the list while it worked was kept; polled results were given up only at the next poll; a unary call without its message waited for ever; after an answer the client's side of a stream is closed after 2 s. Each with a test but the last two.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -50,11 +50,16 @@
     return process
 
 
-async def start(channel: Channel, query: str) -> ClientCall:
+async def ticket_for(channel: Channel, query: str) -> bytes:
     request = descriptor(sql.CommandStatementQuery(query=query))
     info = flight.FlightInfo.FromString(await channel.unary(SERVICE + "GetFlightInfo", request))
+    return info.endpoint[0].ticket.SerializeToString()
+
+
+def start(channel: Channel, ticket: bytes) -> ClientCall:
+    """A ticket may be used any number of times: each use is a request of its own."""
     call = channel.start(SERVICE + "DoGet")
-    call.write_now(info.endpoint[0].ticket.SerializeToString(), end=True)
+    call.write_now(ticket, end=True)
     return call
 
 
@@ -74,7 +79,10 @@
     while not channel.usable:
         await asyncio.sleep(0.01)
     began = time.monotonic()
-    calls = [await start(channel, "SELECT 1") for _ in range(HELD)]
+    ticket = await ticket_for(channel, "SELECT 1")
+    calls = [start(channel, ticket) for _ in range(HELD)]
+    while not await channel.ping(5.0):  # answered behind all of them
+        pass
     asked = time.monotonic() - began
     most = memory(process.process.pid)
     times: list[float] = []
@@ -104,7 +112,7 @@
     await channel.connect(2.0)
     while not channel.usable:
         await asyncio.sleep(0.01)
-    call = await start(channel, "SELECT 1 /* lab rows=60000 batches=800 */")
+    call = start(channel, await ticket_for(channel, "SELECT 1 /* lab rows=60000 batches=800 */"))
     size, began = 0, time.monotonic()
     while (message := await call.read()) is not None:
         size += len(message)
--- a/saffronlane/config/settings.py
+++ b/saffronlane/config/settings.py
@@ -46,6 +46,7 @@
     max_streams: int = 1000
     max_message: int = 67_108_864
     keepalive: float = 20.0
+    most_owed: int = 20_000
     polls: int = 1000
     poll_keep: float = 60.0
     connect_timeout: float = 1.0
@@ -102,6 +103,7 @@
         max_streams=front.get("max_streams", 1000),
         max_message=front.get("max_message_bytes", 67_108_864),
         keepalive=front.get("keepalive_s", 20.0),
+        most_owed=front.get("max_requests", 20_000),
         polls=front.get("polls", 1000),
         poll_keep=front.get("poll_keep_s", 60.0),
         connect_timeout=links.get("connect_timeout_s", 1.0),
--- a/saffronlane/daemon.py
+++ b/saffronlane/daemon.py
@@ -41,9 +41,9 @@
             if share_port:
                 path = path.with_name(f"{path.name}.{config.settings.position}")
             self._record = path.open("wb")
-            journal = Journal(self._record, config.settings, seed)
+            journal = Journal(self._record, config.settings, seed, config.most_owed)
         self.view = View(self._loop.time, time.time)
-        self.dispatcher = d.Dispatcher(config.settings, seed, journal)
+        self.dispatcher = d.Dispatcher(config.settings, seed, journal, config.most_owed)
         http = ConnectionLimits(max_streams=config.max_streams, keepalive_after=config.keepalive)
         limits = ExecutorLimits(
             hold_back=config.hold_back,
@@ -132,6 +132,7 @@
             self._watch.cancel()
         if self.peers is not None:
             self.peers.close()
+        self.front.close()
         self.executor.close()
         self.server.close()
         if self._record is not None:
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -20,6 +20,7 @@
 from . import effects as fx
 from . import inputs as inp
 
+MOST_OWED = 20_000
 Record = Callable[[float, list[inp.Input], list[fx.Effect]], None]
 
 
@@ -51,13 +52,18 @@
         settings: as `rules.Gateway` takes them.
         seed: of every random draw.
         record: is told each step's time, inputs and effects (see `dispatch.journal`).
+        most_owed: requests at once; one more is refused. Guards against a flood of arrivals: each held
+            query makes a step dearer, until answers would be late.
     """
 
-    def __init__(self, settings: api.Settings, seed: int, record: Record | None = None) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, record: Record | None = None, most_owed: int = MOST_OWED
+    ) -> None:
         self.settings = settings
         self.seed = seed
         self.gateway = Gateway(settings, seed)
         self.faults = 0  # times that the decisions failed and were begun anew
+        self.most_owed = most_owed
         self._record = record
         self._requests: dict[int, _Request] = {}
         self._closing: set[int] = set()  # ended in this step
@@ -179,9 +185,10 @@
         self._owed += 1
         if self._stop_at is not None:  # a successor or another gateway takes it once this one is gone
             wait = min(max(0.0, self._stop_at - self._now), self.settings.limits.max_retry_after)
-            self._end(request, fx.RefuseRequest(request.id, wait, "the gateway is stopping"))
-            self._leave(request)
-            return []
+            return self._turn_away(request, wait, "the gateway is stopping")
+        if self._owed > self.most_owed:
+            wait = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0.0
+            return self._turn_away(request, wait, f"{self.most_owed} requests wait already")
         return [
             api.Arrival(
                 event.request,
@@ -197,6 +204,11 @@
             )
         ]
 
+    def _turn_away(self, request: _Request, wait: float, why: str) -> list[api.Event]:
+        self._end(request, fx.RefuseRequest(request.id, wait, why))
+        self._leave(request)
+        return []
+
     def _find(self, request: int, attempt: int) -> tuple[_Request | None, _Attempt | None]:
         entry = self._requests.get(request)
         if entry is None or not 0 <= attempt < len(entry.attempts):
--- a/saffronlane/dispatch/journal.py
+++ b/saffronlane/dispatch/journal.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .. import interface as api
-from .core import Dispatcher
+from .core import MOST_OWED, Dispatcher
 from .effects import Effect
 from .inputs import INPUT_TYPES, Input
 
@@ -24,9 +24,9 @@
 class Journal:
     """Writes one length-prefixed record a step. The first record holds settings and seed."""
 
-    def __init__(self, sink: BinaryIO, settings: api.Settings, seed: int) -> None:
+    def __init__(self, sink: BinaryIO, settings: api.Settings, seed: int, most_owed: int = MOST_OWED) -> None:
         self._sink = sink
-        self._write([msgspec.to_builtins(settings, builtin_types=(bytes,)), seed])
+        self._write([msgspec.to_builtins(settings, builtin_types=(bytes,)), seed, most_owed])
 
     def _write(self, record: object) -> None:
         data = _ENCODER.encode(record)
@@ -60,11 +60,11 @@
     with path.open("rb") as source:
         records = _records(source)
         try:
-            raw, seed = next(records)
+            raw, seed, most_owed = next(records)
             settings = msgspec.convert(raw, api.Settings)
-        except (StopIteration, ValueError, msgspec.ValidationError) as error:
+        except (StopIteration, ValueError, TypeError, msgspec.ValidationError) as error:
             raise JournalError(f"{path} has no settings at its start: {error}") from None
-        dispatcher = Dispatcher(settings, seed)
+        dispatcher = Dispatcher(settings, seed, most_owed=most_owed)
         for number, (now, plain, recorded) in enumerate(records):
             try:
                 inputs = [msgspec.convert(fields, _BY_NAME[name]) for name, fields in plain]
--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -399,6 +399,8 @@
     def _drop(self, running: _Running) -> None:
         running.request.running.pop(running.n, None)
         self._forget(running.request)
+        if self._address(running.engine) is None:  # it went from the list while this ran
+            self.forget_engine(running.engine)
 
     async def _stopped(self, running: _Running, outcome: api.Outcome) -> Verdict:
         """Stop the attempt at its engine; told only once the engine has taken that in, or the wait is over.
--- a/saffronlane/flight/service.py
+++ b/saffronlane/flight/service.py
@@ -61,6 +61,7 @@
         self._reader = Reader(config.dialect, config.strict_sql, config.sql_cache)
         self._running: dict[bytes, set[int]] = {}  # requests by the nonce of their ticket
         self._polls: OrderedDict[bytes, _Poll] = OrderedDict()
+        self._sweeper = self._loop.call_later(config.poll_keep / 4.0, self._sweep)
         names = ("Handshake", "GetFlightInfo", "PollFlightInfo", "DoGet", "DoPut", "DoAction", "ListActions")
         ours = (
             self.handshake,
@@ -263,7 +264,6 @@
             flight.FlightDescriptor, await call.read_only("PollFlightInfo"), "FlightDescriptor"
         )
         command = _command(descriptor.cmd, "FlightDescriptor.cmd")
-        self._sweep_polls()
         if _name(command) == "TicketStatementQuery":  # a descriptor that an earlier poll gave
             asked = _parse(sql.TicketStatementQuery, command.value, "TicketStatementQuery")
             handle = handles.unpack(asked.statement_handle, "poll descriptor")
@@ -303,6 +303,13 @@
             if poll.sink.status is None:
                 self._executor.client_gone(poll.request)
 
+    def _sweep(self) -> None:
+        self._sweep_polls()
+        self._sweeper = self._loop.call_later(self._config.poll_keep / 4.0, self._sweep)
+
+    def close(self) -> None:
+        self._sweeper.cancel()
+
     def _sweep_polls(self) -> None:
         """Results that nobody fetches are given up after a while."""
         limit = self._loop.time() - self._config.poll_keep
--- a/saffronlane/rpc/server.py
+++ b/saffronlane/rpc/server.py
@@ -28,6 +28,8 @@
 log = structlog.get_logger()
 Handler = Callable[["ServerCall"], Awaitable[None]]
 RESPONSE = [(b":status", b"200"), (b"content-type", b"application/grpc"), (b"grpc-accept-encoding", b"gzip")]
+REQUEST_TIME = 10.0  # seconds for the message of a unary call to come
+LINGER = 2.0  # seconds for a client to end its side after the answer
 FOREVER = 10.0**7  # seconds; a longer time-out is as good as none
 
 
@@ -56,8 +58,15 @@
         return await self.inbox.take()
 
     async def read_only(self, what: str) -> bytes:
-        """The one message of a unary request."""
-        message = await self.read()
+        """The one message of a unary request; a client that does not send it is not waited for."""
+        try:
+            if self.inbox.waiting:  # as it nearly always is: a timer would cost more than the read
+                message = await self.read()
+            else:
+                async with asyncio.timeout(REQUEST_TIME):
+                    message = await self.read()
+        except TimeoutError:
+            raise RpcError(Status(Code.DEADLINE_EXCEEDED, f"{what}: the request did not come")) from None
         if message is None:
             raise RpcError(Status(Code.INTERNAL, f"{what}: the request has no message"))
         return message
@@ -100,11 +109,18 @@
             tail = RESPONSE + to_headers(self.headers) + tail
         http = self._transport.http
         http.send_headers(self._stream_id, tail, end_stream=True)
-        if not self.inbox.ended:  # RFC 9113 section 8.1: the rest of the request is not needed
+        if not self.inbox.ended:  # the rest of the request is not needed
             self.inbox.drop()
+            # RFC 9113 section 8.1. Not at once: most clients end their side in the same moment.
+            asyncio.get_running_loop().call_later(LINGER, self._let_go)
         self._transport.flush()
         self._release()
 
+    def _let_go(self) -> None:
+        if not self._transport.http.queued(self._stream_id):
+            self._transport.http.reset(self._stream_id, ErrorCode.NO_ERROR)
+            self._transport.flush()
+
     def reset(self, code: int) -> None:
         """End the call without a status."""
         if not self.done:
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -22,6 +22,7 @@
 MULTIPLIER = 10.0  # deadline = arrival + this x ExecTime; the paper's value
 GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
 HOMES, CROSSING = 4, 0.03  # of a group's first, the own zone's lead where crossing costs so many points
+ORDERS_MOST = 4096  # hash orders remembered: table groups come from clients, and are without number
 SPILL = 1.25  # an engine over this x mean load plus one query is passed by; the design's start value
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
 SHARE_CHANCE = 1.5  # the share's slack in standard deviations: of few queries some are out together by chance
@@ -272,6 +273,8 @@
             order = sorted(self.ready, key=lambda e: blake2b(name + e.id, digest_size=8).digest())
             if self.crossing_costs:  # of the first few, those of the own zone lead
                 order[:HOMES] = sorted(order[:HOMES], key=lambda e: e.zone != self.settings.zone)
+            if len(self.orders) >= ORDERS_MOST:
+                self.orders.clear()
             self.orders[tables, salt] = order
         return order
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -358,3 +358,26 @@
     assert len(world.of(ANSWERS, request)) == 1
     assert world.of(d.DiscardAttempt) == [d.DiscardAttempt(request, 0)]
     assert not world.of(d.CancelAttempt)
+
+
+def test_a_flood_of_arrivals_is_refused_past_a_bound() -> None:
+    """Each held query makes a step dearer: without a bound, a flood would make every answer late."""
+    core = d.Dispatcher(make_settings(), 1, most_owed=5)
+    requests = [core.new_request() for _ in range(8)]
+    effects = core.step(10.0, [d.Submit(n, 0, 5.0) for n in requests])
+    assert [e.request for e in effects if isinstance(e, d.RefuseRequest)] == requests[5:]
+    assert core.owed == 5
+    effects = core.step(20.0, [])
+    assert len([e for e in effects if isinstance(e, ANSWERS)]) == 5
+    late = core.new_request()
+    assert not [e for e in core.step(20.0, [d.Submit(late, 0, 5.0)]) if isinstance(e, ANSWERS)]
+
+
+def test_hash_orders_of_table_groups_without_number_are_bounded() -> None:
+    """Groups come from the clients' statements; each one's order was kept until the next list."""
+    world = World()
+    for n in range(5_000):
+        request = world.submit(tables=n + 1)
+        world.step(d.ClientLeft(request))
+        world.done(request, Outcome.CANCELLED)
+    assert len(world.core.gateway.orders) <= 4_096
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -458,3 +458,25 @@
     with connect(shared) as connection, connection.cursor() as cursor:
         cursor.execute("SELECT 1 /* lab rows=1 */")
         assert cursor.fetch_arrow_table().schema == pa.schema([("id", pa.int64()), ("name", pa.string())])
+
+
+def test_a_polled_result_that_nobody_fetches_is_given_up(tmp_path: Path) -> None:
+    with house(tmp_path, front={"poll_keep_s": 0.1}, connections={"hold_back_bytes": 1_000}) as built:
+        raw = Raw(built)
+        query = "SELECT 1 /* lab rows=500 batches=60 */"
+        raw.one("PollFlightInfo", descriptor(sql.CommandStatementQuery(query=query)), flight.PollInfo)
+        built.until(lambda: not built.daemon.front._polls and not built.daemon.executor._requests)
+        assert built.daemon.dispatcher.owed == 0
+
+
+def test_the_pool_of_an_engine_that_left_while_it_worked_goes_too(tmp_path: Path) -> None:
+    with house(tmp_path, engines=1) as built:
+        raw = Raw(built)
+        ticket = raw.ticket("SELECT 1 /* lab work=0.3 */")
+        call = raw.channel.unary_stream(SERVICE + "DoGet")(ticket.SerializeToString())
+        built.until(lambda: bool(built.seen("ran")))
+        del built.states["e0"]
+        built.call(built.publish)
+        built.until(lambda: not list(built.daemon.view.snapshot))
+        assert len(list(call)) == 2
+        built.until(lambda: not built.daemon.executor._pools)
