Remembered header blocks hold the table's first entry, not its id

Cause: the id of an evicted entry can be given to the one that replaces it; a table of a single entry would then look unchanged, and the same bytes be read as older headers. The entry itself is held and compared. Found by reading the change again; a test replaces the only entry 200 times.

--- a/saffronlane/http2/connection.py
+++ b/saffronlane/http2/connection.py
@@ -17,7 +17,6 @@
 
 import hpack
 from hpack.hpack import encode_integer
-from hpack.table import HeaderTable
 
 from ..state import Bucket
 from . import frames
@@ -264,7 +263,9 @@
         if known is not None:
             return known
         table = self._decoder.header_table
-        before = self._table_state(table)
+        entries, size = table.dynamic_entries, table.maxsize
+        # The first entry itself is held, not its id: that of an evicted one could be given to the next.
+        count, first = len(entries), entries[0] if entries else None
         try:
             headers = tuple((bytes(n), bytes(v)) for n, v in self._decoder.decode(block, raw=True))
         except hpack.OversizedHeaderListError:
@@ -273,18 +274,13 @@
         except (hpack.HPACKError, UnicodeDecodeError) as error:
             text = f"header block does not decode: {error}"
             raise ProtocolError(text, ErrorCode.COMPRESSION_ERROR) from None
-        if self._table_state(table) != before:
+        same = len(entries) == count and (not count or entries[0] is first) and table.maxsize == size
+        if not same:  # an entry was added (at the front) or evicted, or the size was set
             self._blocks.clear()
         elif len(self._blocks) < BLOCKS_MOST and len(block) <= BLOCK_MOST:
             self._blocks[block] = headers
         return headers
 
-    @staticmethod
-    def _table_state(table: HeaderTable) -> tuple[int, int, int]:
-        """Differs whenever an entry was added (at the front), evicted, or the size was set."""
-        entries = table.dynamic_entries
-        return len(entries), id(entries[0]) if entries else 0, table.maxsize
-
     def _headers(self, stream_id: int, end: bool, headers: Headers) -> None:
         stream = self.streams.get(stream_id)
         if stream is None:
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -544,3 +544,15 @@
         data = encoder.encode([*REQUEST, *headers])
         expected = tuple([*REQUEST, *headers])
         assert ours._decode(1, bytes(data)) == expected
+
+
+def test_an_entry_that_replaces_the_only_one_is_seen() -> None:
+    """The new entry may lie where the old one lay in memory: its id alone does not tell them apart."""
+    import hpack
+
+    encoder, ours = hpack.Encoder(), raw_server()
+    encoder.header_table_size = 40  # one small entry
+    for n in range(200):
+        headers = (*REQUEST, (b"a", b"%d" % (n % 3)))
+        for _ in range(2):
+            assert ours._decode(1, bytes(encoder.encode(list(headers)))) == headers
