One place for Flight SQL's envelopes and path; dead code out

The service's path stood in five files, and packing a command into an Any or a descriptor in five places of the product, the lab and a benchmark: proto/commands.py has them once. The executor's discard looked its attempt up by hand beside _find; Dispatcher._stopped and lab.engine.dumps were used by nobody.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -13,14 +13,13 @@
 import time
 from pathlib import Path
 
-from saffronlane.lab.clients import descriptor
 from saffronlane.lab.engine import EngineConfig, StandIn
 from saffronlane.lab.up import GatewayProcess, write_list
 from saffronlane.proto import flight_pb2 as flight
 from saffronlane.proto import flight_sql_pb2 as sql
+from saffronlane.proto.commands import SERVICE, descriptor
 from saffronlane.rpc import Channel, ClientCall
 
-SERVICE = "/arrow.flight.protocol.FlightService/"
 HELD = 10_000
 MB = 1024 * 1024
 
@@ -51,7 +50,7 @@
 
 
 async def ticket_for(channel: Channel, query: str) -> bytes:
-    request = descriptor(sql.CommandStatementQuery(query=query))
+    request = descriptor(sql.CommandStatementQuery(query=query)).SerializeToString()
     info = flight.FlightInfo.FromString(await channel.unary(SERVICE + "GetFlightInfo", request))
     return info.endpoint[0].ticket.SerializeToString()
 
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -73,7 +73,6 @@
         self._engines: dict[bytes, api.EngineEntry] = {}
         self._version = 0
         self._stop_at: float | None = None  # no request is taken any more
-        self._stopped = False
         self._effects: list[fx.Effect] = []
         self._now = -math.inf
         self._takers: dict[type, Callable[[Any], list[api.Event]]] = {
--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -24,6 +24,7 @@
 from ..http2 import ConnectionLimits
 from ..proto import flight_pb2 as flight
 from ..proto import flight_sql_pb2 as sql
+from ..proto.commands import SERVICE, descriptor, packed
 from ..rpc import Channel, ClientCall, Code, Ending, RpcError, Status
 from ..rpc.status import detailed
 from . import orca
@@ -31,7 +32,6 @@
 from .pool import ConnectFailed, Pool, PoolLimits
 
 log = structlog.get_logger()
-SERVICE = "/arrow.flight.protocol.FlightService/"
 MOST_ERROR = 300  # characters of an engine's words in our own answer
 Headers = tuple[tuple[str, str | bytes], ...]
 
@@ -227,7 +227,9 @@
 
     # --- effects ---
 
-    def _find(self, effect: d.CancelAttempt | d.Commit | d.Serve | d.RecallAttempt) -> _Running | None:
+    def _find(
+        self, effect: d.CancelAttempt | d.DiscardAttempt | d.RecallAttempt | d.Commit | d.Serve
+    ) -> _Running | None:
         request = self._requests.get(effect.request)
         return request.running.get(effect.attempt) if request is not None else None
 
@@ -255,8 +257,7 @@
             running.task.cancel()
 
     def _discard(self, effect: d.DiscardAttempt) -> None:
-        request = self._requests.get(effect.request)
-        running = request.running.get(effect.attempt) if request is not None else None
+        running = self._find(effect)
         if running is not None:
             running.passing = True  # read on to the end, into nothing
             running.held.clear()
@@ -450,7 +451,7 @@
             command = sql.CommandStatementQuery(query=work.query)
         if work.update:
             return await self._pass_on(running, await self._put(running, command, work.batches))
-        answer = await self._ask(running, "GetFlightInfo", _descriptor(command))
+        answer = await self._ask(running, "GetFlightInfo", descriptor(command))
         if isinstance(answer, Verdict):
             return answer
         verdict = Verdict(api.Outcome.OK)  # of a result without endpoints, which is empty
@@ -477,14 +478,13 @@
 
     async def _prepare(self, running: _Running, work: Work) -> bytes | Verdict:
         """Prepare at the engine and bind what was bound here; the engine's handle."""
-        packed = AnyMessage()
-        packed.Pack(sql.ActionCreatePreparedStatementRequest(query=work.query))
-        action = flight.Action(type="CreatePreparedStatement", body=packed.SerializeToString())
+        request = packed(sql.ActionCreatePreparedStatementRequest(query=work.query))
+        action = flight.Action(type="CreatePreparedStatement", body=request.SerializeToString())
         answer = await self._ask(running, "DoAction", action)
         if isinstance(answer, Verdict):
             return answer
-        packed = AnyMessage.FromString(flight.Result.FromString(answer).body)
-        made = sql.ActionCreatePreparedStatementResult.FromString(packed.value)
+        box = AnyMessage.FromString(flight.Result.FromString(answer).body)
+        made = sql.ActionCreatePreparedStatementResult.FromString(box.value)
         handle = made.prepared_statement_handle
         if work.update or not work.batches:
             return handle
@@ -502,7 +502,7 @@
     async def _put(self, running: _Running, command: Message, batches: tuple[bytes, ...]) -> ClientCall:
         call = await self._call(running, "DoPut")
         # Joined messages are merged by protobuf, so the descriptor goes with the first batch as it is.
-        first = flight.FlightData(flight_descriptor=_descriptor(command)).SerializeToString()
+        first = flight.FlightData(flight_descriptor=descriptor(command)).SerializeToString()
         parts = [first + batches[0], *batches[1:]] if batches else [first]
         for part in parts[:-1]:
             await call.write(part)
@@ -600,9 +600,3 @@
         for pool in self._pools.values():
             pool.close()
         self._pools.clear()
-
-
-def _descriptor(command: Message) -> flight.FlightDescriptor:
-    packed = AnyMessage()
-    packed.Pack(command)
-    return flight.FlightDescriptor(type=flight.FlightDescriptor.CMD, cmd=packed.SerializeToString())
--- a/saffronlane/flight/service.py
+++ b/saffronlane/flight/service.py
@@ -17,6 +17,7 @@
 from ..engines import Executor, Work
 from ..proto import flight_pb2 as flight
 from ..proto import flight_sql_pb2 as sql
+from ..proto.commands import SERVICE, packed
 from ..rpc import Code, Handler, RpcError, ServerCall, Status
 from ..rpc.status import error
 from . import handles
@@ -26,7 +27,6 @@
 from .sql import Reader, SqlError, Statement
 
 log = structlog.get_logger()
-SERVICE = "/arrow.flight.protocol.FlightService/"
 PREFIX = "type.googleapis.com/"
 PACKAGE = "arrow.flight.protocol.sql."
 MOST_PUT = 16 * 1024 * 1024  # bytes of one DoPut, which are kept until the statement has run
@@ -387,7 +387,7 @@
         self._read(asked.query)
         handle = handles.pack(handles.make(asked.query))
         result = sql.ActionCreatePreparedStatementResult(prepared_statement_handle=handle)
-        return _any(result).SerializeToString()
+        return packed(result).SerializeToString()
 
     async def _close_prepared(self, call: ServerCall, body: bytes) -> bytes | None:
         asked = _unpack(sql.ActionClosePreparedStatementRequest, body, "ClosePreparedStatement")
@@ -446,14 +446,8 @@
     return command.type_url.removeprefix(whole) if command.type_url.startswith(whole) else ""
 
 
-def _any(message: Message) -> AnyMessage:
-    packed = AnyMessage()
-    packed.Pack(message)
-    return packed
-
-
 def _ticket(handle: handles.Handle) -> bytes:
-    return _any(sql.TicketStatementQuery(statement_handle=handles.pack(handle))).SerializeToString()
+    return packed(sql.TicketStatementQuery(statement_handle=handles.pack(handle))).SerializeToString()
 
 
 def _info(descriptor: flight.FlightDescriptor, ticket: bytes) -> flight.FlightInfo:
--- a/saffronlane/lab/clients.py
+++ b/saffronlane/lab/clients.py
@@ -9,16 +9,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from google.protobuf.any_pb2 import Any as AnyMessage
-from google.protobuf.message import Message
-
 from ..proto import flight_pb2 as flight
 from ..proto import flight_sql_pb2 as sql
+from ..proto.commands import SERVICE, descriptor
 from ..rpc import Channel, ClientCall, Code, RpcError, Status
 from .audit import Event
 from .up import GatewayProcess
 
-SERVICE = "/arrow.flight.protocol.FlightService/"
 Headers = tuple[tuple[str, str | bytes], ...]
 PATIENCE = 1.0  # seconds past its time that a client still listens, to see answers that come too late
 
@@ -37,13 +34,6 @@
     gateway: int
 
 
-def descriptor(command: Message) -> bytes:
-    packed = AnyMessage()
-    packed.Pack(command)
-    kind = flight.FlightDescriptor.CMD
-    return flight.FlightDescriptor(type=kind, cmd=packed.SerializeToString()).SerializeToString()
-
-
 class _Recorder:
     def __init__(self, name: str, gateway: GatewayProcess, record: Callable[[Event], None]) -> None:
         self._name, self._gateway, self._record = name, gateway, record
@@ -120,13 +110,11 @@
         try:
             channel = await self._connected()
             if query.update:
-                first = flight.FlightData()
-                first.flight_descriptor.ParseFromString(
-                    descriptor(sql.CommandStatementUpdate(query=query.text))
-                )
+                command = sql.CommandStatementUpdate(query=query.text)
+                first = flight.FlightData(flight_descriptor=descriptor(command))
                 message, method = first.SerializeToString(), "DoPut"
             else:
-                request = descriptor(sql.CommandStatementQuery(query=query.text))
+                request = descriptor(sql.CommandStatementQuery(query=query.text)).SerializeToString()
                 answer = await channel.unary(SERVICE + "GetFlightInfo", request, headers, 2.0)
                 ticket = flight.FlightInfo.FromString(answer).endpoint[0].ticket
                 message, method = ticket.SerializeToString(), "DoGet"
--- a/saffronlane/lab/engine.py
+++ b/saffronlane/lab/engine.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,12 +23,12 @@
 from ..http2.transport import local_sockets
 from ..proto import flight_pb2 as flight
 from ..proto import flight_sql_pb2 as sql
+from ..proto.commands import SERVICE, packed
 from ..proto.orca_pb2 import OrcaLoadReport
 from ..rpc import Code, RpcError, Server, ServerCall, Status
 from ..rpc.status import detailed
 from .model import EngineShape, Machine, Run
 
-SERVICE = "/arrow.flight.protocol.FlightService/"
 _HINT = re.compile(r"/\*\s*lab\s+([^*]*)\*/")
 Record = Callable[[dict[str, Any]], None]
 Keys = dict[str, tuple[float, list[bytes]]]  # by key: until when it is remembered, and the answer
@@ -167,9 +166,8 @@
             ).prepared_statement_handle.decode()
         else:
             raise RpcError(Status(Code.UNIMPLEMENTED, f"{command.type_url} is not served"))
-        packed = AnyMessage()
-        packed.Pack(sql.TicketStatementQuery(statement_handle=text.encode()))
-        ticket = flight.Ticket(ticket=packed.SerializeToString())
+        held = packed(sql.TicketStatementQuery(statement_handle=text.encode()))
+        ticket = flight.Ticket(ticket=held.SerializeToString())
         info = flight.FlightInfo(
             flight_descriptor=descriptor,
             endpoint=[flight.FlightEndpoint(ticket=ticket)],
@@ -181,8 +179,8 @@
     async def _do_get(self, call: ServerCall) -> None:
         await self._still(call)
         ticket = flight.Ticket.FromString(await call.read_only("DoGet"))
-        packed = AnyMessage.FromString(ticket.ticket)
-        text = sql.TicketStatementQuery.FromString(packed.value).statement_handle.decode()
+        box = AnyMessage.FromString(ticket.ticket)
+        text = sql.TicketStatementQuery.FromString(box.value).statement_handle.decode()
         hints = Hints.of(text)
         await self._execute(call, text, hints, lambda: result_of(int(hints.rows), int(hints.batches)))
 
@@ -213,10 +211,10 @@
         action = flight.Action.FromString(await call.read_only("DoAction"))
         if action.type != "CreatePreparedStatement":
             raise RpcError(Status(Code.UNIMPLEMENTED, f"action {action.type!r}"))
-        packed = AnyMessage.FromString(action.body)
-        asked = sql.ActionCreatePreparedStatementRequest.FromString(packed.value)
-        answer = AnyMessage()
-        answer.Pack(sql.ActionCreatePreparedStatementResult(prepared_statement_handle=asked.query.encode()))
+        box = AnyMessage.FromString(action.body)
+        asked = sql.ActionCreatePreparedStatementRequest.FromString(box.value)
+        made = sql.ActionCreatePreparedStatementResult(prepared_statement_handle=asked.query.encode())
+        answer = packed(made)
         await call.write(flight.Result(body=answer.SerializeToString()).SerializeToString())
 
     async def _list_actions(self, call: ServerCall) -> None:
@@ -376,7 +374,3 @@
     shape = EngineShape(**{k: float(v) for k, v in value.items() if k in shape_keys})
     rest = {k: v for k, v in value.items() if k in known}
     return EngineConfig(rest.pop("id", fallback_id), shape, **rest)
-
-
-def dumps(event: dict[str, Any]) -> str:
-    return json.dumps(event, separators=(",", ":"))
