--- /dev/null
+++ b/saffronlane/storage/files.py
@@ -0,0 +1,137 @@
+"""The file system as the store uses it: few operations, each of which may fail or be half done at a crash."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+LOCK_NAME = "lock"
+
+
+class Handle(Protocol):
+    """A new file, written from its start on."""
+
+    def write(self, data: bytes) -> None:
+        """All of it, or OSError and nobody knows how much."""
+
+    def sync(self) -> None:
+        """On return all that was written survives a loss of power; OSError: it may not, ever."""
+
+    def close(self) -> None: ...
+
+
+class Files(Protocol):
+    """One folder. Names have no folders in them; all may raise OSError."""
+
+    def names(self) -> list[str]: ...
+
+    def read(self, name: str) -> bytes: ...
+
+    def create(self, name: str) -> Handle:
+        """A fresh file; one of that name is replaced by an empty one."""
+
+    def rename(self, old: str, new: str) -> None:
+        """In one step; takes the place of a file named `new`."""
+
+    def remove(self, name: str) -> None: ...
+
+    def sync_folder(self) -> None:
+        """On return, names made, renamed and removed before are as they are, whatever comes."""
+
+
+class _RealHandle:
+    def __init__(self, fd: int) -> None:
+        self._fd = fd
+
+    def write(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._fd, view) :]
+
+    def sync(self) -> None:
+        os.fsync(self._fd)
+
+    def close(self) -> None:
+        if self._fd >= 0:
+            fd, self._fd = self._fd, -1
+            os.close(fd)
+
+
+class RealFiles:
+    """A folder of the machine, held by a descriptor: one moved away meanwhile stays the same folder.
+
+    OSError where it cannot be made or opened.
+    """
+
+    def __init__(self, folder: Path, make: bool = True) -> None:
+        self.folder = folder
+        if make:
+            folder.mkdir(parents=True, exist_ok=True)
+        self._fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+
+    def names(self) -> list[str]:
+        return os.listdir(self._fd)
+
+    def read(self, name: str) -> bytes:
+        fd = os.open(name, os.O_RDONLY | os.O_CLOEXEC | os.O_NOFOLLOW, dir_fd=self._fd)
+        with os.fdopen(fd, "rb") as source:
+            return source.read()
+
+    def create(self, name: str) -> Handle:
+        # Guards against writing into a file that another process still holds: the old one is unlinked.
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC | os.O_NOFOLLOW
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(name, dir_fd=self._fd)
+        return _RealHandle(os.open(name, flags, 0o600, dir_fd=self._fd))
+
+    def rename(self, old: str, new: str) -> None:
+        os.rename(old, new, src_dir_fd=self._fd, dst_dir_fd=self._fd)
+
+    def remove(self, name: str) -> None:
+        os.unlink(name, dir_fd=self._fd)
+
+    def sync_folder(self) -> None:
+        os.fsync(self._fd)
+
+    def close(self) -> None:
+        if self._fd >= 0:
+            fd, self._fd = self._fd, -1
+            os.close(fd)
+
+
+class FolderBusy(Exception):
+    """Another process has the folder; the text says which, as far as it is known."""
+
+
+class FolderLock:
+    """The exclusive use of a folder, for as long as this process lives (flock(2)). OSError, FolderBusy.
+
+    `place` names the lock's own file: a folder that was copied or restored has another.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._fd = os.open(folder / LOCK_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self._fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            holder = os.pread(self._fd, 32, 0).decode("ascii", "replace").strip()
+            os.close(self._fd)
+            if not isinstance(error, BlockingIOError):
+                raise
+            raise FolderBusy(f"{folder} is in use by process {holder or 'unknown'}") from None
+        try:
+            os.ftruncate(self._fd, 0)
+            os.pwrite(self._fd, f"{os.getpid()}\n".encode(), 0)
+        except OSError:
+            pass  # a full disk: the lock holds all the same, only its holder is not named
+        status = os.fstat(self._fd)
+        self.place = f"{status.st_dev:x}.{status.st_ino:x}"
+
+    def release(self) -> None:
+        if self._fd >= 0:
+            fd, self._fd = self._fd, -1
+            os.close(fd)
--- /dev/null
+++ b/saffronlane/storage/format.py
@@ -0,0 +1,174 @@
+"""The bytes of a store's files. No I/O; docs/knowledge.md has the same layout byte by byte.
+
+Integers are big-endian. A file is a header and records; every record and the header carry a CRC32C (RFC 3720,
+appendix B.4). A log file holds batches of changes, each with the sequence after the one before it. A snapshot
+holds all entries as of one sequence, and ends with a record that counts them: without it, it is not whole.
+"""
+
+from __future__ import annotations
+
+import re
+import struct
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple, TypeAlias
+
+import google_crc32c
+from rpds import HashTrieMap
+
+MAGIC = b"SFLKEEP\n"
+FORMAT = 1
+LOG, SNAPSHOT = 1, 2  # kinds of file
+BATCH, ENTRIES, END = 1, 2, 3  # types of record
+MOST_PAYLOAD = 16_777_216  # bytes; a length beyond it is damage, not data
+GONE = 0xFFFF_FFFF  # in place of a value's length: the key was removed
+
+_HEADER = struct.Struct(">8sHHQI")  # magic, format, kind, sequence, CRC of what is before it
+_RECORD = struct.Struct(">IIQHH")  # length of the payload, CRC, sequence, type, version of the record
+_CHANGE = struct.Struct(">HHI")  # length of the key, version of the value, length of the value
+HEADER_SIZE, RECORD_SIZE = _HEADER.size, _RECORD.size
+_NAME = re.compile(r"(log|snap)-v(\d{1,5})-([0-9a-f]{16})")
+
+
+class Entry(NamedTuple):
+    """A value and the version of its layout, which the store carries and does not read."""
+
+    version: int
+    value: bytes
+
+
+class Change(NamedTuple):
+    """A key's new entry; None removes it."""
+
+    key: bytes
+    entry: Entry | None
+
+
+StoredMap: TypeAlias = "HashTrieMap[bytes, Entry]"
+
+
+class Damaged(Exception):
+    """The bytes are not what the format says; the text names the place."""
+
+
+@dataclass(frozen=True, slots=True)
+class Name:
+    """What a file's name says of it."""
+
+    kind: int
+    format: int
+    sequence: int
+
+    def __str__(self) -> str:
+        return f"{'log' if self.kind == LOG else 'snap'}-v{self.format}-{self.sequence:016x}"
+
+    @staticmethod
+    def parse(text: str) -> Name | None:
+        found = _NAME.fullmatch(text)
+        if found is None:
+            return None
+        return Name(LOG if found[1] == "log" else SNAPSHOT, int(found[2]), int(found[3], 16))
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    sequence: int
+    type: int
+    version: int
+    payload: bytes
+
+
+@dataclass(slots=True)
+class Parsed:
+    """A file as far as it is good: its records, the bytes that they take, and why reading stopped."""
+
+    format: int
+    kind: int
+    sequence: int
+    records: list[Record] = field(default_factory=list)
+    good: int = 0
+    problem: str = ""
+
+
+def header(kind: int, sequence: int) -> bytes:
+    start = _HEADER.pack(MAGIC, FORMAT, kind, sequence, 0)[:-4]
+    return start + struct.pack(">I", google_crc32c.value(start))
+
+
+def _checksum(payload: bytes, sequence: int, type_: int, version: int) -> int:
+    head = struct.pack(">IQHH", len(payload), sequence, type_, version)
+    return int(google_crc32c.extend(google_crc32c.value(head), payload))
+
+
+def record(sequence: int, type_: int, payload: bytes, version: int = 1) -> bytes:
+    """ValueError if the payload is longer than MOST_PAYLOAD."""
+    if len(payload) > MOST_PAYLOAD:
+        raise ValueError(f"{len(payload)} bytes in one record, {MOST_PAYLOAD} at most")
+    crc = _checksum(payload, sequence, type_, version)
+    return _RECORD.pack(len(payload), crc, sequence, type_, version) + payload
+
+
+def parse(data: bytes) -> Parsed:
+    """Read a file up to the first byte that is not good. Damaged if not even the header is."""
+    if len(data) < HEADER_SIZE:
+        raise Damaged(f"{len(data)} bytes, fewer than a header has")
+    magic, version, kind, sequence, crc = _HEADER.unpack_from(data)
+    if magic != MAGIC:
+        raise Damaged("not a file of this store")
+    if crc != google_crc32c.value(data[: HEADER_SIZE - 4]):
+        raise Damaged("the header's checksum is wrong")
+    found = Parsed(version, kind, sequence, good=HEADER_SIZE)
+    if version > FORMAT:
+        found.problem = f"format {version} is newer than {FORMAT}"
+        return found
+    at = HEADER_SIZE
+    while at < len(data):
+        if at + RECORD_SIZE > len(data):
+            found.problem = f"byte {at}: a record's head breaks off"
+            break
+        length, crc, number, type_, layout = _RECORD.unpack_from(data, at)
+        end = at + RECORD_SIZE + length
+        if length > MOST_PAYLOAD or end > len(data):
+            found.problem = f"byte {at}: a record of {length} bytes passes the end of the file"
+            break
+        payload = data[at + RECORD_SIZE : end]
+        if crc != _checksum(payload, number, type_, layout):
+            found.problem = f"byte {at}: a record's checksum is wrong"
+            break
+        found.records.append(Record(number, type_, layout, payload))
+        at = found.good = end
+    return found
+
+
+def pack_changes(changes: Iterable[Change]) -> bytes:
+    """The payload of a BATCH or ENTRIES record. ValueError if a key is empty or over 65,535 bytes."""
+    parts: list[bytes] = []
+    for key, entry in changes:
+        if not 0 < len(key) < 65_536:
+            raise ValueError(f"a key of {len(key)} bytes")
+        version, length = (0, GONE) if entry is None else (entry.version, len(entry.value))
+        parts += (_CHANGE.pack(len(key), version, length), key, b"" if entry is None else entry.value)
+    return b"".join(parts)
+
+
+def unpack_changes(payload: bytes) -> Iterator[Change]:
+    """Damaged where the payload breaks off: its checksum was right, so a program wrote it wrongly."""
+    at = 0
+    while at < len(payload):
+        if at + _CHANGE.size > len(payload):
+            raise Damaged(f"a change's head breaks off at byte {at} of its record")
+        key_size, version, size = _CHANGE.unpack_from(payload, at)
+        at += _CHANGE.size
+        value_size = 0 if size == GONE else size
+        end = at + key_size + value_size
+        if end > len(payload):
+            raise Damaged(f"a change at byte {at} passes the end of its record")
+        key = payload[at : at + key_size]
+        yield Change(key, None if size == GONE else Entry(version, payload[at + key_size : end]))
+        at = end
+
+
+def applied(state: StoredMap, changes: Iterable[Change]) -> StoredMap:
+    for key, entry in changes:
+        state = state.discard(key) if entry is None else state.insert(key, entry)
+    return state
