--- a/saffronlane/config/settings.py
+++ b/saffronlane/config/settings.py
@@ -56,6 +56,8 @@
     peer_listen: tuple[str, int] | None = None
     peer_addresses: tuple[tuple[str, int], ...] = ()
     record: Path | None = None
+    knowledge: Path | None = None
+    knowledge_most: int = 268_435_456
     raw: dict[str, Any] = field(default_factory=dict)
 
 
@@ -83,7 +85,7 @@
     engines, gateway = value["engines"], value.get("gateway", {})
     sql, sessions = value.get("sql", {}), value.get("sessions", {})
     front, links = value.get("front", {}), value.get("connections", {})
-    peers = value.get("peers")
+    peers, kept = value.get("peers"), value.get("knowledge")
     return Config(
         settings=settings,
         host=value["listen"].get("host", "127.0.0.1"),
@@ -113,6 +115,8 @@
         peer_listen=address_of(peers["listen"]) if peers else None,
         peer_addresses=tuple(address_of(a) for a in peers["addresses"]) if peers else (),
         record=base / value["record"] if "record" in value else None,
+        knowledge=base / kept["folder"] if kept is not None else None,
+        knowledge_most=int((kept or {}).get("most_mb", 256) * 1_048_576),
         raw=value,
     )
 
--- a/saffronlane/daemon.py
+++ b/saffronlane/daemon.py
@@ -17,6 +17,7 @@
 from .engines import Executor, ExecutorLimits
 from .engines.pool import PoolLimits
 from .flight import FlightFront
+from .folder import Folder
 from .http2 import ConnectionLimits
 from .http2.transport import local_sockets
 from .interface import PeerMessage
@@ -34,6 +35,8 @@
         self.config = config
         seed = config.seed if config.seed is not None else secrets.randbits(32)
         self._loop = asyncio.get_running_loop()
+        self.folder = None if config.knowledge is None else Folder(config, self._loop)
+        memory = self.folder.memory if self.folder is not None else None
         self._record: BinaryIO | None = None
         journal = None
         if config.record is not None:
@@ -41,9 +44,11 @@
             if share_port:
                 path = path.with_name(f"{path.name}.{config.settings.position}")
             self._record = path.open("wb")
-            journal = Journal(self._record, config.settings, seed, config.most_owed)
+            journal = Journal(self._record, config.settings, seed, config.most_owed, memory)
         self.view = View(self._loop.time, time.time)
-        self.dispatcher = d.Dispatcher(config.settings, seed, journal, config.most_owed)
+        self.dispatcher = d.Dispatcher(
+            config.settings, seed, journal, config.most_owed, memory, keeping=memory is not None
+        )
         http = ConnectionLimits(max_streams=config.max_streams, keepalive_after=config.keepalive)
         limits = ExecutorLimits(
             hold_back=config.hold_back,
@@ -57,6 +62,7 @@
             self.view.address,
             self.peers.send if self.peers is not None else None,
             str(config.settings.position),
+            self.folder.keep if self.folder is not None else None,
         )
         self.front = FlightFront(config, self.executor)
         self.server = Server(self.front.handlers, http, config.max_connections, config.max_message)
@@ -81,6 +87,8 @@
 
     def start(self, sockets: list[socket.socket] | None = None) -> None:
         """Listen. OSError where the address cannot be had."""
+        if self.folder is not None:
+            self.folder.start(self.dispatcher)
         if not self.source.look():
             log.warning("no engine list yet", file=str(self.config.engine_file))
         sockets = sockets or local_sockets(self.config.host, self.config.port, self._share_port)
@@ -135,6 +143,8 @@
         self.front.close()
         self.executor.close()
         self.server.close()
+        if self.folder is not None:
+            self.folder.stop(self.dispatcher, self.executor.unsaved)
         if self._record is not None:
             self._record.close()
             self._record = None
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -15,8 +15,10 @@
 from typing import Any
 
 from .. import interface as api
+from ..knowledge import PATIENCE, Keeper, Memory
 from ..rules import Gateway
 from ..state import NEVER_RAN
+from ..storage import Change
 from . import effects as fx
 from . import inputs as inp
 
@@ -36,6 +38,9 @@
 class _Request:
     id: int
     attempts: list[_Attempt] = field(default_factory=list)
+    cls: int = 0
+    cost: float = 0.0
+    identity: bytes = b""
     terms: tuple[float, int] | None = None  # of the next attempt
     committed: int | None = None
     ended: bool = False
@@ -52,16 +57,28 @@
         settings: as `rules.Gateway` takes them.
         seed: of every random draw.
         record: is told each step's time, inputs and effects (see `dispatch.journal`).
+        memory: what an earlier run left in a folder; None: nothing is known.
+        keeping: whether what is learned is to be written (by `effects.Keep`).
         most_owed: requests at once; one more is refused. Guards against a flood of arrivals: each held
             query makes a step dearer, until answers would be late.
     """
 
     def __init__(
-        self, settings: api.Settings, seed: int, record: Record | None = None, most_owed: int = MOST_OWED
+        self,
+        settings: api.Settings,
+        seed: int,
+        record: Record | None = None,
+        most_owed: int = MOST_OWED,
+        memory: Memory | None = None,
+        keeping: bool = False,
     ) -> None:
         self.settings = settings
         self.seed = seed
         self.gateway = Gateway(settings, seed)
+        self.keeper = Keeper(settings, memory, keeping)
+        self.keeper.begin(self.gateway)
+        self._listed = False  # the gateway has had a list
+        self._ahead: dict[bytes, None] = {}  # keys of entries that attempts of this step wait for, in order
         self.faults = 0  # times that the decisions failed and were begun anew
         self.most_owed = most_owed
         self._record = record
@@ -104,7 +121,11 @@
     @property
     def next_wake(self) -> float:
         """When `step` wants to be called even if nothing happens; infinity: never."""
-        return self._timers[0][0] if self._timers else math.inf
+        return min(self._timers[0][0] if self._timers else math.inf, self.keeper.next_look)
+
+    def kept(self) -> list[Change]:
+        """All changes of what is known that have not been given out, for the end of a run."""
+        return self.keeper.changes(self.gateway)
 
     @property
     def owed(self) -> int:
@@ -137,18 +158,35 @@
             events.append(api.TimerFired(heapq.heappop(self._timers)[1]))
         if events:
             self._decide(now, events)
+            self.keeper.touch()
+        self._keep(now)
         effects, self._effects = self._effects, []
         if self._record is not None:
             self._record(now, before, effects)
         return effects
 
+    def _keep(self, now: float) -> None:
+        """What attempts wait for comes before them."""
+        if self._ahead:
+            changes = self.keeper.changes_ahead(self.gateway, self._ahead)
+            self._ahead.clear()
+            self._effects.insert(0, fx.Keep(tuple(changes), ahead=True))
+        if now >= self.keeper.next_look and (changes := self.keeper.changes(self.gateway)):
+            self._effects.append(fx.Keep(tuple(changes)))
+
     def _decide(self, now: float, events: list[api.Event]) -> None:
         try:
+            if entries := self._first_list(events):
+                self.keeper.before_list(self.gateway, entries)
             actions = self.gateway.step(now, events)
+            if entries:
+                self._listed = True
+                self.keeper.after_list(self.gateway)
         except Exception as error:
             # Guards against a fault in the decisions: no request may be lost by it, and no later one harmed.
             self._begin_anew(now, repr(error))
             return
+        self._wash(events)
         for action in actions:
             doer = self._doers.get(type(action))
             if doer is not None:
@@ -160,17 +198,49 @@
             self._leave(self._requests[number])
         self._closing.clear()
 
+    def _first_list(self, events: list[api.Event]) -> tuple[api.EngineEntry, ...]:
+        """The engines of the list that is the first to name any."""
+        for event in events if not self._listed else ():
+            if isinstance(event, api.ListUpdate) and event.mode is not api.ListMode.FAILED and event.entries:
+                return event.entries
+        return ()
+
+    def _wash(self, events: list[api.Event]) -> None:
+        """Answers tell whether what was recalled holds."""
+        for event in events if self.keeper.wash.under_way else ():
+            if isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.OK:
+                request = self._requests[event.request]
+                said = self.keeper.answered(
+                    self.gateway, request.cls, request.cost, event.elapsed, event.work
+                )
+                if said:
+                    self._effects.append(api.Log(said))
+
     def _begin_anew(self, now: float, why: str) -> None:
+        """A new gateway takes over what the old one knew, as if it had been restarted."""
         self.faults += 1
+        self._ahead.clear()
         self._effects.append(api.Log(f"decisions failed and begin anew: {why}"))
         for request in list(self._requests.values()):
             self._end(request, fx.FailRequest(request.id, "internal fault of the gateway"))
             self._leave(request)
         self._timers.clear()
+        try:
+            self._take_over(now, self.keeper.anew(self.gateway, now))
+        except Exception as error:  # what failed may have left anything behind
+            self._effects.append(api.Log(f"what was known is lost: {error!r}"))
+            self._take_over(now, None)
+
+    def _take_over(self, now: float, memory: Memory | None) -> None:
         self.gateway = Gateway(self.settings, self.seed + self.faults)
+        self.keeper = Keeper(self.settings, memory, self.keeper.keeping)
+        self.keeper.begin(self.gateway)
         entries = tuple(self._engines.values())
+        self._listed = bool(entries)
         if entries:
+            self.keeper.before_list(self.gateway, entries)
             actions = self.gateway.step(now, [api.ListUpdate(api.ListMode.FULL, self._version, entries)])
+            self.keeper.after_list(self.gateway)
             for action in actions:
                 if isinstance(action, api.SetTimer):
                     self._set_timer(action)
@@ -180,7 +250,8 @@
     def _on_submit(self, event: inp.Submit) -> list[api.Event]:
         if event.request in self._requests:
             raise ValueError(f"request {event.request} was submitted before")
-        request = self._requests[event.request] = _Request(event.request)
+        request = _Request(event.request, cls=event.cls, cost=event.cost, identity=event.identity)
+        self._requests[event.request] = request
         self._owed += 1
         if self._stop_at is not None:  # a successor or another gateway takes it once this one is gone
             wait = min(max(0.0, self._stop_at - self._now), self.settings.limits.max_retry_after)
@@ -200,6 +271,7 @@
                 event.tables,
                 event.repeat,
                 event.write,
+                self.keeper.ledger.earlier(event.identity, self._now) if event.identity else None,
             )
         ]
 
@@ -233,6 +305,8 @@
             return []
         attempt.done = True
         outcome, final = event.outcome, False
+        if request.identity:
+            self.keeper.ledger.ended(request.identity, outcome in NEVER_RAN)
         if request.ended:
             self._closing.add(request.id)
         elif attempt.cancelled:
@@ -310,8 +384,12 @@
         request.terms = None
         attempt = _Attempt(len(request.attempts), action.engine)
         request.attempts.append(attempt)
+        ahead = self.keeper.ahead(self.gateway, request.id, attempt.n, request.identity)
+        wait = PATIENCE if ahead and self.keeper.keeping else 0.0
+        if wait:
+            self._ahead.update(dict.fromkeys(ahead))
         self._effects.append(
-            fx.StartAttempt(request.id, attempt.n, action.engine, action.timeout, grant, priority)
+            fx.StartAttempt(request.id, attempt.n, action.engine, action.timeout, grant, priority, wait)
         )
 
     def _set_terms(self, action: api.SetTerms) -> None:
--- a/saffronlane/dispatch/effects.py
+++ b/saffronlane/dispatch/effects.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
+from ..storage import Change
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,15 @@
     timeout: float
     grant_mb: float = 0.0
     priority: int | None = None
+    ahead: float = 0.0  # seconds to wait for this step's `Keep` with `ahead` to be durable; 0: none
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Write these changes of what is known. With `ahead`, attempts of this step wait for them."""
+
+    changes: tuple[Change, ...]
+    ahead: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +89,7 @@
 
 Effect = (
     StartAttempt
+    | Keep
     | CancelAttempt
     | DiscardAttempt
     | RecallAttempt
--- a/saffronlane/dispatch/inputs.py
+++ b/saffronlane/dispatch/inputs.py
@@ -21,6 +21,7 @@
     tables: float = 0.0
     repeat: bool = False
     write: bool = False
+    identity: bytes = b""  # the key that the client knows the request by; empty: none
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/dispatch/journal.py
+++ b/saffronlane/dispatch/journal.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .. import interface as api
+from ..knowledge import Memory
 from .core import MOST_OWED, Dispatcher
 from .effects import Effect
 from .inputs import INPUT_TYPES, Input
@@ -24,9 +25,17 @@
 class Journal:
     """Writes one length-prefixed record a step. The first record holds settings and seed."""
 
-    def __init__(self, sink: BinaryIO, settings: api.Settings, seed: int, most_owed: int = MOST_OWED) -> None:
+    def __init__(
+        self,
+        sink: BinaryIO,
+        settings: api.Settings,
+        seed: int,
+        most_owed: int = MOST_OWED,
+        memory: Memory | None = None,
+    ) -> None:
         self._sink = sink
-        self._write([msgspec.to_builtins(settings, builtin_types=(bytes,)), seed, most_owed])
+        plain = msgspec.to_builtins(settings, builtin_types=(bytes,))
+        self._write([plain, seed, most_owed, memory])
 
     def _write(self, record: object) -> None:
         data = _ENCODER.encode(record)
@@ -60,11 +69,13 @@
     with path.open("rb") as source:
         records = _records(source)
         try:
-            raw, seed, most_owed = next(records)
+            raw, seed, most_owed, *rest = next(records)
+            memory = msgspec.convert(rest[0], Memory) if rest and rest[0] is not None else None
             settings = msgspec.convert(raw, api.Settings)
         except (StopIteration, ValueError, TypeError, msgspec.ValidationError) as error:
             raise JournalError(f"{path} has no settings at its start: {error}") from None
-        dispatcher = Dispatcher(settings, seed, most_owed=most_owed)
+        keeping = memory is not None
+        dispatcher = Dispatcher(settings, seed, most_owed=most_owed, memory=memory, keeping=keeping)
         for number, (now, plain, recorded) in enumerate(records):
             try:
                 inputs = [msgspec.convert(fields, _BY_NAME[name]) for name, fields in plain]
--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -27,6 +27,7 @@
 from ..proto.commands import SERVICE, descriptor, packed
 from ..rpc import Channel, ClientCall, Code, Ending, RpcError, Status
 from ..rpc.status import detailed
+from ..storage import Change
 from . import orca
 from .outcomes import Verdict, classify
 from .pool import ConnectFailed, Pool, PoolLimits
@@ -34,6 +35,7 @@
 log = structlog.get_logger()
 MOST_ERROR = 300  # characters of an engine's words in our own answer
 Headers = tuple[tuple[str, str | bytes], ...]
+Keep = Callable[[tuple[Change, ...], bool], "asyncio.Future[bool] | None"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,8 @@
     passing: bool = False
     cancelled: bool = False
     told: bool = False  # its end
+    saved: asyncio.Future[bool] | None = None  # what must be on disk before it leaves
+    waited: float = 0.0  # seconds for that
     held: deque[bytes] = field(default_factory=deque)
     held_size: int = 0
     status: Status = field(default_factory=lambda: Status(Code.OK))
@@ -117,6 +121,8 @@
         address: host and port of an engine by its id; None: not known (any more).
         send_peer: carries a message to a peer gateway, or to all.
         name: of this gateway, told to the engines.
+        keep: writes changes of what is known; asked to write ahead, it gives what tells when that is durable,
+            and whether.
     """
 
     def __init__(
@@ -126,11 +132,15 @@
         address: Callable[[bytes], tuple[str, int] | None],
         send_peer: Callable[[int | None, bytes], None] | None = None,
         name: str = "0",
+        keep: Keep | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self._limits, self._address = limits, address
         self._send_peer = send_peer
         self._name = name
+        self._keep = keep
+        self._saving: asyncio.Future[bool] | None = None  # of this step
+        self.unsaved = 0  # attempts that left though what must be on disk before them was not
         self._loop = asyncio.get_running_loop()
         self._inputs: list[d.Input] = []
         self._soon: asyncio.Handle | None = None
@@ -141,6 +151,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._doers: dict[type, Callable[..., None]] = {
             d.StartAttempt: self._start,
+            d.Keep: self._write,
             d.CancelAttempt: self._cancel,
             d.DiscardAttempt: self._discard,
             d.RecallAttempt: self._recall,
@@ -191,6 +202,7 @@
     def _step(self) -> None:
         self._soon = None
         inputs, self._inputs = self._inputs, []
+        self._saving = None
         try:
             for effect in self.dispatcher.step(self._loop.time(), inputs):
                 self._do(effect)
@@ -239,11 +251,28 @@
             self.feed(d.AttemptDone(effect.request, effect.attempt, api.Outcome.MOOT, 0.0))
             return
         running = _Running(request, effect.attempt, effect.engine, effect, self._loop.time())
+        running.saved = self._saving if effect.ahead else None
         request.running[effect.attempt] = running
         running.task = self._spawn(self._run(running))
         # Guards against a cancel before the task's first turn: its body never runs then, and tells nothing.
         running.task.add_done_callback(lambda _: self._done(running, Verdict(api.Outcome.MOOT)))
 
+    def _write(self, effect: d.Keep) -> None:
+        if self._keep is not None:
+            saving = self._keep(effect.changes, effect.ahead)
+            self._saving = saving if effect.ahead else self._saving
+
+    async def _until_saved(self, running: _Running) -> None:
+        """Wait for what a later run must know of it. A disk that hangs holds nothing up for long."""
+        if running.saved is None:
+            return
+        began = self._loop.time()
+        done, _ = await asyncio.wait({running.saved}, timeout=running.effect.ahead)
+        running.waited = self._loop.time() - began
+        if not done or not running.saved.result():
+            self.unsaved += 1
+            log.warning("attempt leaves unsaved", request=running.request.id, attempt=running.n)
+
     def _spawn(self, work: object) -> asyncio.Task[None]:
         task: asyncio.Task[None] = self._loop.create_task(work)  # type: ignore[arg-type]
         self._tasks.add(task)
@@ -355,6 +384,7 @@
         verdict: Verdict
         try:
             async with asyncio.timeout_at(ending):
+                await self._until_saved(running)
                 verdict = await self._talk(running)
         except TimeoutError:
             verdict = await self._stopped(running, api.Outcome.TIMEOUT)
@@ -378,7 +408,7 @@
             return
         running.told = True
         request, call = running.request, running.call
-        elapsed = self._loop.time() - running.started
+        elapsed = self._loop.time() - running.started - running.waited
         told = orca.Told()
         if call is not None and call.ending is Ending.STATUS:
             told = orca.read(call.trailers, self.dispatcher.settings.report_columns)
--- a/saffronlane/flight/service.py
+++ b/saffronlane/flight/service.py
@@ -231,6 +231,7 @@
                 identity.memory_mb,
                 statement.group,
                 write=statement.writes,
+                identity=bytes.fromhex(identity.key),
             ),
             identity.key,
         )
--- /dev/null
+++ b/saffronlane/folder.py
@@ -0,0 +1,202 @@
+"""The folder in which a running gateway keeps what it knows: thread, clocks and lock around it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from pathlib import Path
+
+import structlog
+
+from . import __version__
+from .config import Config
+from .dispatch import Dispatcher
+from .knowledge import Memory, Moment
+from .knowledge import kept as k
+from .storage import (
+    Change,
+    Entry,
+    FolderBusy,
+    FolderLock,
+    RealFiles,
+    Store,
+    StoreLimits,
+    Writer,
+    WriterStatus,
+)
+
+log = structlog.get_logger()
+SIGN = 1.0  # seconds between two signs of life
+REPORT = 60.0  # seconds between two reports in the log
+LAST_COMMIT = 2.0  # seconds that the end of the process waits for its last commit
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")  # random(4)
+
+
+def boot_id() -> str:
+    """Names this boot of the machine; empty where the system does not tell."""
+    try:
+        return BOOT_ID.read_text().strip()
+    except OSError:
+        return ""
+
+
+class Folder:
+    """One folder of one gateway. Whatever is wrong with it, the gateway goes on without, and says so.
+
+    Attributes:
+        memory: what was read, for the dispatcher; without entries where nothing could be read.
+    """
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        assert config.knowledge is not None
+        self.path = config.knowledge
+        self._config, self._loop = config, loop
+        self._boot = boot_id()
+        self._lock: FolderLock | None = None
+        self._files: RealFiles | None = None
+        self._writer: Writer | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._report_at = loop.time() + REPORT
+        entries: tuple[tuple[bytes, Entry], ...] = ()
+        try:
+            entries = self._open()
+        except (OSError, FolderBusy) as error:
+            log.error("knowledge is not kept", folder=str(self.path), why=str(error))
+            self._release()
+        self.memory = Memory(entries, self._moment())
+
+    def _open(self) -> tuple[tuple[bytes, Entry], ...]:
+        began = time.monotonic()
+        self._lock = FolderLock(self.path)
+        self._files = RealFiles(self.path)
+        store = Store(self._files, StoreLimits(most=self._config.knowledge_most))
+        found = store.load()
+        for text in found.dropped:
+            log.warning("knowledge left out", folder=str(self.path), what=text)
+        if found.newer:
+            log.warning("knowledge of a newer version is left alone", files=found.newer)
+        self._writer = Writer(store, self._tell, before_repair=self._reopen)
+        log.info(
+            "knowledge read",
+            folder=str(self.path),
+            entries=len(found.state),
+            bytes=sum(found.sizes.values()),
+            took_s=round(time.monotonic() - began, 4),
+        )
+        return tuple(found.state.items())
+
+    def _reopen(self) -> None:
+        """Before a repair: the folder may have vanished and be there again. On the writer's thread."""
+        assert self._files is not None
+        if self._files.reopen():
+            lock, self._lock = self._lock, None
+            if lock is not None:
+                lock.release()
+            try:
+                self._lock = FolderLock(self.path)
+            except FolderBusy as error:
+                raise OSError(str(error)) from None
+
+    def _tell(self, text: str) -> None:
+        log.error(text, folder=str(self.path))
+
+    def _moment(self) -> Moment:
+        place = self._lock.place if self._lock is not None else ""
+        return Moment(self._loop.time(), time.time(), self._boot, place)
+
+    def _sign(self, clean: bool = False) -> Change:
+        now, settings = self._moment(), self._config.settings
+        run = k.RunKept(
+            now.mono, now.wall, now.boot, now.place, __version__, settings.position, settings.gateways, clean
+        )
+        return k.change(k.RUN, run)
+
+    @property
+    def status(self) -> WriterStatus:
+        return (
+            self._writer.status if self._writer is not None else WriterStatus(why="the folder is not in use")
+        )
+
+    def start(self, dispatcher: Dispatcher) -> None:
+        """Begin to write: all that was recalled, on this run's clock, in one commit with its first sign."""
+        summary = dispatcher.keeper.summary
+        if self.memory.entries:
+            log.info(
+                "knowledge recalled",
+                age_s=round(summary.age, 3),
+                exact=summary.exact,
+                requests=summary.requests,
+                orders=summary.orders,
+            )
+        for note in summary.notes:
+            log.warning("knowledge", note=note)
+        if self._writer is not None:
+            self._writer.put([*dispatcher.keeper.first(dispatcher.gateway), self._sign()])
+            self._writer.start()
+            self._timer = self._loop.call_later(SIGN, self._beat)
+
+    def _beat(self) -> None:
+        assert self._writer is not None
+        self._writer.put([self._sign()])
+        self._timer = self._loop.call_later(SIGN, self._beat)
+        if self._loop.time() >= self._report_at:
+            self._report_at = self._loop.time() + REPORT
+            self.report(0)
+
+    def report(self, unsaved: int) -> None:
+        """A line for the log, of how the store fares."""
+        status = self.status
+        log.info(
+            "knowledge kept",
+            working=status.working,
+            why=status.why,
+            since_sync_s=round(self._loop.time() - status.last_sync, 3),
+            sync_ms=round(status.sync_time * 1000.0, 2),
+            commits=status.commits,
+            failures=status.failures,
+            lost=status.lost,
+            unsaved=unsaved,
+            bytes=status.bytes,
+            entries=status.entries,
+        )
+
+    def keep(self, changes: tuple[Change, ...], ahead: bool) -> asyncio.Future[bool] | None:
+        """Write these; with `ahead`, at once, and the future tells whether they are durable."""
+        if self._writer is None:
+            return None
+        if not ahead:
+            self._writer.put(changes)
+            return None
+        future: asyncio.Future[bool] = self._loop.create_future()
+
+        def done(kept: bool) -> None:
+            with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile
+                self._loop.call_soon_threadsafe(_settle, future, kept)
+
+        self._writer.put(changes, done)
+        return future
+
+    def stop(self, dispatcher: Dispatcher, unsaved: int) -> None:
+        """Leave a last snapshot, and give the folder free."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._writer is not None:
+            self._writer.put([*dispatcher.kept(), self._sign(clean=True)])
+            if not self._writer.stop(LAST_COMMIT):
+                log.error("the last of what was known is not kept: the disk hangs", folder=str(self.path))
+            self.report(unsaved)
+            self._writer = None
+        self._release()
+
+    def _release(self) -> None:
+        if self._files is not None:
+            self._files.close()
+        if self._lock is not None:
+            self._lock.release()
+        self._files = self._lock = None
+
+
+def _settle(future: asyncio.Future[bool], kept: bool) -> None:
+    if not future.done():
+        future.set_result(kept)
--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -187,6 +187,17 @@
     entries: tuple[EngineEntry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Earlier:
+    """An attempt of the same request that may have run, from before it arrived here (again)."""
+
+    engine: bytes
+    sent: float
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     request: int
@@ -199,6 +210,7 @@
     tables: float = 0.0
     repeat: bool = False
     write: bool = False
+    earlier: Earlier | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/saffronlane/knowledge/keeper.py
@@ -0,0 +1,194 @@
+"""What of a gateway's knowledge is to be written, and when. Pure: changes go out, nobody here writes them.
+
+Two ways lead to the disk. What a rule depends on after a crash goes ahead: it is durable before the attempt
+leaves, which costs that attempt one fsync. All else lags, by LAG at most, and costs nobody anything.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from .. import interface as api
+from ..rules import Gateway
+from ..storage import Change, Entry
+from . import export
+from . import kept as k
+from .clock import Moment
+from .ledger import Ledger
+from .recall import Memory, Recall, Summary
+from .wash import Wash
+
+LAG = 0.5  # seconds between two looks at what has changed
+PATIENCE = 0.25  # seconds that an attempt waits for a disk that hangs; then it goes, and that is told
+SEEN = 60.0  # seconds; how exactly it is kept when an engine was last listed
+
+
+class Keeper:
+    """The memory of one gateway, beside its decisions.
+
+    Args:
+        settings: of the gateway.
+        memory: what an earlier run left; None: nothing.
+        keeping: whether what it finds changed goes anywhere.
+    """
+
+    def __init__(self, settings: api.Settings, memory: Memory | None = None, keeping: bool = False) -> None:
+        self.settings, self.keeping = settings, keeping
+        self.ledger = Ledger(settings)
+        self.summary = Summary()
+        self.wash = Wash()
+        self._recall = Recall(settings, memory) if memory is not None else None
+        self._written: dict[bytes, Entry] = {}
+        if memory is not None and keeping:
+            self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+        self._counts: dict[str, int] = {}  # by class, at its last writing
+        self._next = -math.inf
+        self._touched = False
+        self._listed = False
+
+    # --- at the start ---
+
+    def begin(self, gateway: Gateway) -> None:
+        """Before the first event."""
+        if self._recall is not None:
+            self.summary = self._recall.summary
+            self._recall.begin(gateway, self.ledger)
+
+    def before_list(self, gateway: Gateway, entries: tuple[api.EngineEntry, ...]) -> None:
+        """Before the gateway takes its first list."""
+        if self._recall is not None and not self._listed:
+            self._recall.listed(gateway, entries)
+            for index, mass in self._recall.masses.items():
+                self.wash.begin(index, self._recall.class_kept(index), mass)
+        self._listed = True
+
+    def after_list(self, gateway: Gateway) -> None:
+        if self._recall is not None:
+            self._recall.tell(gateway)
+
+    # --- as requests come and go ---
+
+    def answered(self, gateway: Gateway, cls: int, cost: float, elapsed: float, work: float) -> str:
+        """One answer that was learned from; words for the log, or none."""
+        if not self.wash.under_way:
+            return ""
+        said = self.wash.answered(cls, gateway.learned[cls], cost or 1.0, elapsed, work)
+        if said and self._recall is not None:
+            self._recall.masses.pop(cls, None)
+        return said
+
+    def ahead(self, gateway: Gateway, request: int, attempt: int, identity: bytes) -> list[bytes]:
+        """What must be on disk before an attempt leaves that the gateway has just sent: keys of entries."""
+        sent = gateway.attempts.get((request, attempt))
+        if sent is None:
+            return []
+        job, rules, found = sent.job, gateway.rules, []
+        if identity and job.cls.effect is not api.Effect.SAFE:
+            self.ledger.sent(identity, job.cls, gateway.now, export.entry(sent.engine))
+            found.append(k.SENT + identity)
+        if job.cls.ordered and job.key:
+            found.append(k.ORDER + export.order_name(job.key))
+        if attempt and rules.budget_free is not None:
+            found.append(k.BUDGET)
+        if rules.fall_multiple and gateway.coldness(sent.engine):
+            found.append(k.ENGINE + sent.engine.id)
+        return found
+
+    # --- what to write ---
+
+    def changes_ahead(self, gateway: Gateway, keys: Iterable[bytes]) -> list[Change]:
+        """The entries that `ahead` named."""
+        return self._differing({key: self._value(gateway, key) for key in keys})
+
+    def touch(self) -> None:
+        """Something has happened: there may be changes at the next look."""
+        self._touched = self.keeping
+
+    @property
+    def next_look(self) -> float:
+        return self._next if self._touched else math.inf
+
+    def first(self, gateway: Gateway) -> list[Change]:
+        """What goes with this run's first sign of life: all that was recalled, on this run's clock."""
+        values: dict[bytes, k.Kept | None] = dict(self._recall.rebased) if self._recall is not None else {}
+        return self._differing(values | {k.FLEET: export.fleet(gateway)})
+
+    def changes(self, gateway: Gateway) -> list[Change]:
+        """All that has changed since the last look."""
+        self._next, self._touched = gateway.now + LAG, False
+        self.ledger.forget_until(gateway.now)
+        return self._differing(self._all(gateway))
+
+    def entries(self, gateway: Gateway) -> tuple[tuple[bytes, Entry], ...]:
+        """All of it, for a gateway that takes over in this very process."""
+        values: dict[bytes, k.Kept | None] = {
+            k.SENT + i: self.ledger.get(i) for i in self.ledger.identities()
+        }
+        values |= self._all(gateway, every=True)
+        made = [k.change(key, value) for key, value in values.items() if value is not None]
+        return tuple((one.key, one.entry) for one in made if one.entry is not None)
+
+    def anew(self, gateway: Gateway, now: float) -> Memory:
+        """A memory for a gateway that begins in the place of this one."""
+        run = k.RunKept(now, 0.0, "here", "here", "", self.settings.position, self.settings.gateways, True)
+        made = k.change(k.RUN, run).entry
+        assert made is not None
+        return Memory((*self.entries(gateway), (k.RUN, made)), Moment(now, 0.0, "here", "here"))
+
+    def _all(self, gateway: Gateway, every: bool = False) -> dict[bytes, k.Kept | None]:
+        masses = self._recall.masses if self._recall is not None else {}
+        found: dict[bytes, k.Kept | None] = {}
+        for name, one in export.classes(gateway, masses).items():
+            if every or self._counts.get(one.mark) != one.count:
+                self._counts[one.mark] = one.count
+                found[k.CLASS + name] = one
+        for engine in gateway.engines.values():
+            if engine.state is not api.EngineState.GONE:
+                found[k.ENGINE + engine.id] = export.engine(gateway, engine, self._seen(gateway))
+        if self._recall is not None:
+            for identity, old in self._recall.unlisted().items():
+                found[k.ENGINE + identity] = old
+        found[k.BUDGET], found[k.FLEET] = export.budget(gateway), export.fleet(gateway)
+        found[k.TOLD] = export.told(gateway)
+        for order, state in export.orders(gateway).items():
+            found[k.ORDER + order] = state
+        for identity in self.ledger.changed:
+            found[k.SENT + identity] = self.ledger.get(identity)
+        self.ledger.changed.clear()
+        gone = (key for key in self._written if key not in found and self._fades(gateway, key))
+        return found | dict.fromkeys(gone)
+
+    def _fades(self, gateway: Gateway, key: bytes) -> bool:
+        """Whether an entry that nothing speaks for any more is to be removed."""
+        kind = k.kind_of(key)
+        if kind == k.SENT:
+            return self.ledger.get(key[2:]) is None
+        return kind == k.ORDER or (kind == k.ENGINE and self._listed)
+
+    def _value(self, gateway: Gateway, key: bytes) -> k.Kept | None:
+        kind = k.kind_of(key)
+        if kind == k.SENT:
+            return self.ledger.get(key[2:])
+        if kind == k.ORDER:
+            return k.OrderKept(True, 0.0)
+        if kind == k.ENGINE:
+            return export.engine(gateway, gateway.engines[key[2:]], self._seen(gateway))
+        return export.budget(gateway)
+
+    @staticmethod
+    def _seen(gateway: Gateway) -> float:
+        return math.floor(gateway.now / SEEN) * SEEN
+
+    def _differing(self, values: dict[bytes, k.Kept | None]) -> list[Change]:
+        found = []
+        for key, value in values.items():
+            made = k.change(key, value)
+            if made.entry == self._written.get(key):
+                continue
+            if made.entry is None:
+                del self._written[key]
+            else:
+                self._written[key] = made.entry
+            found.append(made)
+        return found
--- /dev/null
+++ b/saffronlane/knowledge/ledger.py
@@ -0,0 +1,95 @@
+"""Requests known by a key, of which an attempt may have run: what a client's repeat of one may still do.
+
+A client repeats a request after it lost its gateway, or only its answer. To the rules the repeat is a new
+request with an earlier attempt whose outcome is open, and so rule 2 holds for it as for any other.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+
+from .. import interface as api
+from . import weigh
+from .kept import SentKept
+
+MOST = 100_000  # requests remembered; past it those that would be forgotten first are
+
+
+@dataclass(slots=True, eq=False)
+class _Line:
+    kept: SentKept
+    certain: bool = False  # that none of its attempts ran so far; `out` ones are open
+    out: int = 0
+
+
+class Ledger:
+    """In order of time to be forgotten; bounded in time and in number."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._classes = {c.name: c for c in settings.classes}
+        self._lines: dict[bytes, _Line] = {}
+        self._ends: list[tuple[float, bytes]] = []  # heap
+        self.changed: set[bytes] = set()  # identities to be written
+
+    def __len__(self) -> int:
+        return len(self._lines)
+
+    def get(self, identity: bytes) -> SentKept | None:
+        line = self._lines.get(identity)
+        return line.kept if line is not None else None
+
+    def identities(self) -> list[bytes]:
+        return list(self._lines)
+
+    def recall(self, identity: bytes, kept: SentKept) -> None:
+        """Take an entry of an earlier run in, as of this run's clock."""
+        self.changed.add(identity)
+        self._lines[identity] = _Line(kept)
+        heapq.heappush(self._ends, (kept.until, identity))
+
+    def earlier(self, identity: bytes, now: float) -> api.Earlier | None:
+        """The attempt that a repeat must reckon with; None: there was none that may have run."""
+        self.forget_until(now)
+        line = self._lines.get(identity)
+        if line is None:
+            return None
+        kept = line.kept
+        return api.Earlier(kept.engine, kept.at, kept.zone, kept.kind, kept.cell)
+
+    def sent(self, identity: bytes, cls: api.ClassSettings, now: float, entry: api.EngineEntry) -> None:
+        """An attempt leaves now. The first that may have run is the one that counts."""
+        line = self._lines.get(identity)
+        if line is None:
+            until = now + cls.key_ttl + weigh.REPEATS * cls.deadline
+            kept = SentKept(cls.name, now, entry.engine, entry.zone, entry.kind, entry.cell, until)
+            line = self._lines[identity] = _Line(kept, certain=True)
+            heapq.heappush(self._ends, (until, identity))
+            self.changed.add(identity)
+            while len(self._lines) > MOST:
+                self._forget_first()
+        line.out += 1
+
+    def ended(self, identity: bytes, never_ran: bool) -> None:
+        """The end of an attempt. One that certainly never ran leaves no trace."""
+        line = self._lines.get(identity)
+        if line is None:
+            return
+        line.out -= 1
+        line.certain = line.certain and never_ran
+        if line.certain and line.out <= 0:
+            self._drop(identity)
+
+    def forget_until(self, now: float) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            self._forget_first()
+
+    def _forget_first(self) -> None:
+        until, identity = heapq.heappop(self._ends)
+        line = self._lines.get(identity)
+        if line is not None and line.kept.until <= until:
+            self._drop(identity)
+
+    def _drop(self, identity: bytes) -> None:
+        del self._lines[identity]
+        self.changed.add(identity)
--- /dev/null
+++ b/saffronlane/knowledge/recall.py
@@ -0,0 +1,268 @@
+"""Kept entries back into a gateway: each weighed by its age and by what has changed, on this run's clock.
+
+Where a rule depends on what is recalled, `rebase` takes times on the side that keeps the rule.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
+
+from .. import interface as api
+from ..rules import SEED_ANSWERS, Gateway, Learned
+from ..state import Engine, Told
+from ..storage import Entry
+from . import kept as k
+from . import weigh
+from .clock import Gap, Moment, between
+from .ledger import Ledger
+from .rebase import Rebase
+
+SAME_START = 2.0  # seconds; an engine's start is told in wall time, which two runs read a little apart
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """The entries of a folder and the moment of the start that reads them."""
+
+    entries: tuple[tuple[bytes, Entry], ...]
+    now: Moment
+
+
+@dataclass(slots=True)
+class Summary:
+    """What was made of a folder, for logs and `knowledge check`."""
+
+    age: float = math.inf  # seconds since the last sign of the run before
+    exact: bool = False
+    classes: dict[str, float] = field(default_factory=dict)  # answers that each counts as
+    engines: int = 0
+    requests: int = 0
+    orders: int = 0
+    notes: list[str] = field(default_factory=list)
+
+
+class Recall:
+    """What a folder says, read once. `begin` before the first event, `listed` with the first list."""
+
+    def __init__(self, settings: api.Settings, memory: Memory) -> None:
+        self.settings, self.now = settings, memory.now.mono
+        self.summary = Summary()
+        self.masses: dict[int, float] = {}  # by class, what it counted as when it was recalled
+        self._engines: dict[bytes, k.EngineKept] = {}
+        self._classes: dict[str, k.ClassKept] = {}
+        self._sent: dict[bytes, k.SentKept] = {}
+        self._orders: dict[int, k.OrderKept] = {}
+        self._budget: k.BudgetKept | None = None
+        self._fleet: k.FleetKept | None = None
+        self._told: k.ToldKept | None = None
+        values: dict[bytes, k.Kept] = {}
+        for key, value in k.decode_all(memory.entries):
+            if isinstance(value, k.Unreadable):
+                self.summary.notes.append(str(value))
+            else:
+                values[key] = value
+        run = values.pop(k.RUN, None)
+        self._gap, self.trust = self._weigh(run if isinstance(run, k.RunKept) else None, memory.now)
+        rebase = Rebase(self._gap)
+        self.rebased = {key: rebase(value) for key, value in values.items()}
+        for key, value in self.rebased.items():
+            self._sort(key, value)
+
+    def _sort(self, key: bytes, value: k.Kept) -> None:
+        if isinstance(value, k.ClassKept):
+            self._classes[key[2:].decode("utf-8", "replace")] = value
+        elif isinstance(value, k.EngineKept):
+            self._engines[key[2:]] = value
+        elif isinstance(value, k.SentKept):
+            self._sent[key[2:]] = value
+        elif isinstance(value, k.OrderKept):
+            self._orders[int.from_bytes(key[2:], "big")] = value
+        elif isinstance(value, k.BudgetKept):
+            self._budget = value
+        elif isinstance(value, k.FleetKept):
+            self._fleet = value
+        elif isinstance(value, k.ToldKept):
+            self._told = value
+
+    def _weigh(self, run: k.RunKept | None, now: Moment) -> tuple[Gap, weigh.Trust]:
+        if run is None:
+            nothing = Gap(0.0, math.inf, 0.0, False, False)
+            return nothing, weigh.trust(nothing, False, False)
+        gap = between(Moment(run.mono, run.wall, run.boot, run.place), now)
+        here = (run.position, run.gateways) == (self.settings.position, self.settings.gateways)
+        trust = weigh.trust(gap, run.clean, here)
+        self.summary.age, self.summary.exact = gap.most, trust.exact
+        if not gap.same_place:
+            self.summary.notes.append("the folder was copied or restored, or is of another place")
+        if not here:
+            text = f"written as gateway {run.position} of {run.gateways}"
+            self.summary.notes.append(f"{text}, read as {self.settings.position} of {self.settings.gateways}")
+        if not gap.most < math.inf:
+            self.summary.notes.append("the clock stands before the last entry: ages are not known")
+        return gap, trust
+
+    def _age(self, time: float) -> float:
+        """Seconds since, at the most."""
+        return max(0.0, self.now - time) if time > k.NEVER / 2.0 else math.inf
+
+    def _time(self, time: float) -> float:
+        """For the gateway, which says never by infinity, and knows no future."""
+        return min(self.now, time) if time > k.NEVER / 2.0 else -math.inf
+
+    # --- into the gateway ---
+
+    def begin(self, gateway: Gateway, ledger: Ledger) -> None:
+        """Everything that needs no list of engines."""
+        gateway.now = gateway.born = self.now
+        if self.trust.exact and self._fleet is not None:
+            gateway.born = self._time(self._fleet.born)  # the ledgers below show what was sent since
+        self._take_budget(gateway)
+        settle = gateway.rules.order_settle
+        for key, one in self._orders.items():
+            until = self.now + settle if one.open else min(one.until, self.now + settle)
+            if until > self.now:
+                gateway.turns.rests[key] = until
+                self.summary.orders += 1
+        names = {c.name: c for c in self.settings.classes}
+        for identity, sent in self._sent.items():
+            cls = names.get(sent.cls)
+            longest = cls.key_ttl + weigh.REPEATS * cls.deadline if cls is not None else 0.0
+            until = min(sent.until, self.now + longest)
+            if until > self.now:
+                ledger.recall(identity, replace(sent, until=until))
+                self.summary.requests += 1
+        if (fleet := self._fleet) is not None:
+            age = self._age(fleet.at)
+            gateway.limit = weigh.limit(fleet.limit, age)
+            if gateway.limit < math.inf:
+                gateway.crowd = max(1.0, min(fleet.crowd, 100.0))
+            gateway.recent.value, gateway.recent.at = fleet.lately, self._time(fleet.lately_at)
+        gateway.remembered = self._engine
+
+    def _take_budget(self, gateway: Gateway) -> None:
+        if self._budget is None or gateway.rules.budget_free is None:
+            return
+        since = self.now - gateway.rules.budget_window - 2.0 * gateway.settings.tick
+        extras = sorted(self._time(at) for at in self._budget.extras)
+        gateway.extras.extend(at for at in extras if at > since)
+        for start, count in sorted(self._budget.taken):
+            at = self._time(start)
+            if at > since:
+                gateway.taken.extend([at] * count)
+
+    def listed(self, gateway: Gateway, entries: tuple[api.EngineEntry, ...]) -> None:
+        """What classes have taught, weighed by how much of the fleet is the same. Before the list's step."""
+        kinds = self.settings.kinds
+        listed = {e.engine: kinds[min(e.kind, len(kinds) - 1)].cores for e in entries}
+        fleet = weigh.fleet_factor({name: e.cores for name, e in self._engines.items()}, listed)
+        for index, known in enumerate(gateway.learned):
+            one = self._classes.get(known.cls.name)
+            if one is None:
+                continue
+            if one.mark != k.class_mark(self.settings, known.cls):
+                self.summary.notes.append(f"class {known.cls.name}: its settings have changed")
+                continue
+            mass = weigh.mass(one.mass, self._age(one.at), self.trust.factor * fleet)
+            if mass >= 0.5 and teach(known, one, mass):
+                self.masses[index] = mass
+                self.summary.classes[known.cls.name] = round(mass, 2)
+        self._share_counts(gateway)
+
+    def _share_counts(self, gateway: Gateway) -> None:
+        """The mix of classes, by counts: small enough that a new mix soon shows."""
+        recalled = {i: self._classes[gateway.learned[i].cls.name].count for i in self.masses}
+        whole = sum(recalled.values())
+        for index, count in recalled.items():
+            known = gateway.learned[index]
+            known.count = round(min(1.0, weigh.COUNT_MOST / max(1, whole)) * count)
+            if self.masses[index] >= SEED_ANSWERS:  # enough is known to judge a query by
+                known.count = max(known.count, int(SEED_ANSWERS))
+            known.recalled_count = known.count
+            known.set_pace()
+
+    def _engine(self, engine: Engine) -> None:
+        """An engine as it is first listed: what is known of this very process, if it still is that one."""
+        one = self._engines.pop(engine.id, None)
+        if one is None or one.cores != engine.cores:
+            return
+        if abs(one.started - engine.started) > SAME_START + (0.0 if self._gap.same_boot else self._gap.most):
+            return  # another process by now: nothing of it is known but its start, which the list tells
+        self.summary.engines += 1
+        engine.sent = [(self._time(at), work) for at, work in one.sent]
+        engine.reborn_at = self._time(one.reborn_at)
+        engine.broke_at = self._time(one.broke_at)
+        engine.recent.value, engine.recent.at = one.lately, self._time(one.lately_at)
+        age = self._age(one.judged)
+        engine.fails = weigh.health(one.fails, age)
+        if engine.fails > 0.0:
+            engine.judged = self._time(one.judged)
+            engine.ill, engine.silent = one.ill, one.ill and one.silent
+            engine.trial_gap = one.trial_gap
+            engine.next_trial = self.now  # its first trial soon tells whether this still holds
+        engine.full = self._time(one.full)
+        engine.reported = one.reported
+        engine.reported_at = self._time(one.reported_at)
+
+    def class_kept(self, index: int) -> k.ClassKept:
+        """What was recalled of a class that `masses` names."""
+        return self._classes[self.settings.classes[index].name]
+
+    def tell(self, gateway: Gateway) -> None:
+        """What other gateways told, once the engines are known."""
+        for sender, number, until, name, threads, memory, loads in self._told.entries if self._told else ():
+            engine = gateway.engines.get(name)
+            if engine is not None and until > self.now and (sender, number) not in gateway.told.entries:
+                gateway.told.put((sender, number), Told(until, engine, threads, memory, loads))
+        self._told = None
+
+    def unlisted(self) -> dict[bytes, k.EngineKept]:
+        """Engines that no list has named yet, on this run's clock; the old and the many are forgotten."""
+        recent: dict[bytes, k.EngineKept] = {}
+        for name, one in sorted(self._engines.items(), key=lambda item: -item[1].seen):
+            if self._age(one.seen) <= weigh.ENGINE_MOST and len(recent) < weigh.KNOWN_MOST:
+                recent[name] = one
+        return recent
+
+
+def teach(known: Learned, one: k.ClassKept, mass: float) -> bool:
+    """Put so many answers' worth of knowledge in the place of as many seeds. False if it makes no sense."""
+    figures = (one.cost, one.latency, one.work, one.calm, one.best)
+    if not all(math.isfinite(f) and 0.0 < f < 1e9 for f in figures) or not 0.0 <= one.need < 1e9:
+        return False
+    seed, cls = weigh.seeds(mass), known.cls
+    parts = (one.cost, cls.aim, cls.aim * cls.threads, cls.aim * cls.threads)
+    known.seed = (seed * parts[0], seed * parts[1], seed * parts[2], seed * parts[3])
+    known.told = one.cost
+    whole = mass * one.cost
+    known.estimates = known.seed[0] + whole
+    known.latencies = known.seed[1] + whole * one.latency
+    known.works = known.seed[2] + whole * one.work
+    known.calm = known.seed[3] + whole * one.calm
+    share = mass / (mass + SEED_ANSWERS)
+    known.best = 1.0 + share * (one.best - 1.0)
+    known.need = one.need if mass >= 1.0 else 0.0
+    return True
+
+
+def unteach(known: Learned, cost: float, recalled: tuple[float, float, float, float], answers: int) -> None:
+    """Take recalled sums out again, as far as they still count, and seeds back in; new answers stay."""
+    part = weigh.left(1.0, answers)
+    cls = known.cls
+    seeds = (cost, cls.aim, cls.aim * cls.threads, cls.aim * cls.threads)
+    now = (known.estimates, known.latencies, known.works, known.calm)
+    fresh = [
+        max(1e-9, sums - part * (old + was)) + part * SEED_ANSWERS * seed
+        for sums, old, was, seed in zip(now, recalled, known.seed, seeds, strict=True)
+    ]
+    known.estimates, known.latencies, known.works, known.calm = fresh
+    known.seed = (
+        seeds[0] * SEED_ANSWERS,
+        seeds[1] * SEED_ANSWERS,
+        seeds[2] * SEED_ANSWERS,
+        seeds[3] * SEED_ANSWERS,
+    )
+    known.best, known.need = 1.0, 0.0
+    known.set_pace()
--- /dev/null
+++ b/saffronlane/knowledge/wash.py
@@ -0,0 +1,60 @@
+"""Finds out soon whether recalled knowledge is wrong, by the first answers after a restart.
+
+Old knowledge counts as a few answers, and so fades as new ones come. Where it is far off, that is too slow:
+every answer until then is judged by it. So each recalled class is on trial: the log ratios of its first
+answers to what was recalled are summed, and once chance does not explain their mean the class begins anew.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from ..rules import Learned
+from . import weigh
+from .kept import ClassKept
+from .recall import unteach
+
+TRIAL = 32  # answers; what has stood so many has mostly been replaced by them
+
+
+@dataclass(slots=True)
+class _Trial:
+    kept: ClassKept
+    sums: tuple[float, float, float, float]  # recalled, without seeds
+    total: float = 0.0
+    answers: int = 0
+
+
+class Wash:
+    """The trials under way, by class."""
+
+    def __init__(self) -> None:
+        self._trials: dict[int, _Trial] = {}
+
+    @property
+    def under_way(self) -> int:
+        return len(self._trials)
+
+    def begin(self, index: int, kept: ClassKept, mass: float) -> None:
+        whole = mass * kept.cost
+        sums = (whole, whole * kept.latency, whole * kept.work, whole * kept.calm)
+        self._trials[index] = _Trial(kept, sums)
+
+    def answered(self, index: int, known: Learned, cost: float, elapsed: float, work: float) -> str:
+        """One answer of a class, after it was learned from. Returns words for the log if the class fails."""
+        trial = self._trials.get(index)
+        if trial is None:
+            return ""
+        seen, expected = (work, trial.kept.work) if work > 0.0 else (elapsed, trial.kept.latency)
+        trial.total += math.log(max(1e-6, seen) / max(1e-9, expected * cost))
+        trial.answers += 1
+        if weigh.wrong(trial.total, trial.answers, weigh.SCATTER):
+            del self._trials[index]
+            answers = known.count - known.recalled_count
+            unteach(known, cost, trial.sums, answers)
+            factor = math.exp(trial.total / trial.answers)
+            return f"class {known.cls.name}: recalled knowledge is off by {factor:.2g}, and is dropped"
+        if trial.answers >= TRIAL:
+            del self._trials[index]
+        return ""
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from hashlib import blake2b
 from itertools import islice
 from random import Random
@@ -79,11 +79,12 @@
     """What the answers of one class have taught. Where no estimates are told, each counts as 1."""
 
     def __init__(self, cls: api.ClassSettings) -> None:
-        self.cls, self.count = cls, 0
+        self.cls, self.count, self.recalled_count = cls, 0, 0
         self.estimates = self.told = 0.0  # decayed sum, as the next two, and mean told estimate
         self.latencies = cls.aim * SEED_ANSWERS  # their ratios to the estimates correct those
         self.works = cls.aim * cls.threads * SEED_ANSWERS  # seeded high, so that cold engines get little
         self.calm = self.works  # the same without what a reported crowd added; work that is told has none
+        self.seed = (0.0, self.latencies, self.works, self.calm)  # the part of the sums that no answer gave
         self.best = 1.0  # uncrowded latency x threads / work, a low quantile
         self.pace = 0.0
         self.need = 0.0  # memory needed over memory told, a high quantile
@@ -92,6 +93,7 @@
         if not self.estimates:
             self.told, self.estimates = cost, cost * SEED_ANSWERS
             self.works = self.calm = self.estimates if told else self.works
+            self.seed = (self.estimates, self.latencies, self.works, self.calm)
         self.told += (cost - self.told) * (1.0 - DECAY)
         self.set_pace()
 
@@ -153,6 +155,7 @@
         self.trial_classes = safe or list(range(len(settings.classes)))  # may try an ill engine
         self.engines: dict[bytes, Engine] = {}
         self.marks: dict[bytes, Engine] = {}  # by the mark that others tell of them
+        self.remembered: Callable[[Engine], None] = lambda engine: None  # what an earlier run knew of one
         self.ready: list[Engine] = []
         self.orders: dict[tuple[float, int], list[Engine]] = {}  # hash orders of ready engines
         self.cores = self.threads = 0.0  # of ready engines; own threads that are out
@@ -222,6 +225,7 @@
             kind = self.settings.kinds[min(entry.kind, len(self.settings.kinds) - 1)]
             engine = self.engines[entry.engine] = Engine(entry, kind)
             self.marks[messages.engine_mark(entry.engine)] = engine
+            self.remembered(engine)
             return
         restarted = entry.started != engine.started and entry.started > 0.0
         back = engine.state is EngineState.GONE and entry.state is EngineState.READY
@@ -403,7 +407,7 @@
     def extra_allowed(self, job: Job) -> bool:
         """Rule 7: a sliding window over arrivals and further attempts, checked at each of the latter."""
         rules = self.rules
-        if not job.attempts or rules.budget_free is None:
+        if len(job.attempts) <= job.earlier or rules.budget_free is None:
             return True
         taken = self.taken.count_since(self.now - rules.budget_window + self.settings.tick)
         extras = self.extras.count_since(self.now - rules.budget_window - self.settings.tick)
@@ -417,7 +421,8 @@
         return job.cls.effect is Effect.KEYED and self.now <= first.sent + job.cls.key_ttl - TTL_MARGIN
 
     def expired(self, job: Job) -> bool:
-        return len(job.attempts) >= max(1, self.limits.max_attempts) or not self.open(job)
+        tries = len(job.attempts) - job.earlier
+        return tries >= max(1, self.limits.max_attempts) or not self.open(job)
 
     def lapsed(self, job: Job) -> bool:
         """The design's refusal: now + ExecTime passes the query's, the class's or the client's limit."""
@@ -441,6 +446,7 @@
                     self.finish(job)
         self.blocked = False
         self.told.forget_until(self.now)
+        self.turns.forget_until(self.now)
         waiting = [j for j in self.held.values() if j.looks_until <= self.now + 1e-6]
         waiting = [j for j in waiting if self.turns.has(j, self.now) and self.extra_allowed(j)]
         waiting.sort(key=lambda j: (j.over, j.deadline, j.id))
@@ -476,8 +482,8 @@
         if self.settings.grants_heeded or self.settings.priorities_heeded:
             self.actions.append(api.SetTerms(job.id, grant if self.settings.grants_heeded else 0.0, priority))
         threads = min(job.cls.threads, engine.cores)
-        attempt = Attempt(job, len(job.attempts), engine, now, threads, grant, heard=now)
-        if job.attempts:
+        attempt = Attempt(job, len(job.attempts) - job.earlier, engine, now, threads, grant, heard=now)
+        if attempt.n:
             self.extras.append(now)
         self.trial_credit = min(TRIAL_CREDIT, self.trial_credit + TRIAL_SHARE)
         if engine.ill:
@@ -548,6 +554,8 @@
         self.learned[index].estimate(job.cost, told=event.cost > 0.0)
         job.deadline = self.now + MULTIPLIER * self.exec_time(job)
         job.over = self.over_allowance(event.tenant)
+        if event.earlier is not None:
+            job.attempts.append(self.earlier(job, event.earlier))
         self.taken.append(self.now)
         self.taken.count_since(self.now - self.rules.budget_window - self.settings.tick)
         self.jobs[job.id] = job
@@ -557,6 +565,13 @@
         if self.probing and self.heavy(job):
             self.ask_around(job)
 
+    def earlier(self, job: Job, told: api.Earlier) -> Attempt:
+        """An attempt from before the request arrived here, of which only that it may have run is known."""
+        kind = self.settings.kinds[min(told.kind, len(self.settings.kinds) - 1)]
+        place = api.EngineEntry(told.engine, EngineState.GONE, 0.0, told.zone, told.kind, told.cell)
+        job.earlier, engine = 1, Engine(place, kind)
+        return Attempt(job, -1, engine, told.sent, 0.0, 0.0, told.sent, outcome=Outcome.CANCELLED)
+
     def over_allowance(self, tenant: int) -> bool:
         """Whether a tenant sends more than its allowance here: such queries yield while engines are full."""
         tenants = self.settings.tenants
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -117,7 +117,7 @@
         self.deadline = self.limit
         self.looks_until = -math.inf  # engines were asked for their load; held until then
         self.attempts: list[Attempt] = []
-        self.out = 0  # attempts without an outcome
+        self.out = self.earlier = 0  # attempts without an outcome; those from before it arrived here
         self.ended = self.streaming = self.rerun = False
         self.over = False  # beyond its tenant's allowance
         self.avoid: list[bytes] = []  # engines that failed this request
@@ -147,8 +147,14 @@
 
     def rest(self, job: Job, until: float) -> None:
         if job.cls.ordered and job.key:
+            self.rests.pop(job.key, None)  # the last to end stands last
             self.rests[job.key] = until
 
+    def forget_until(self, now: float) -> None:
+        """Rests that are over, of keys that nobody asked for again."""
+        while self.rests and next(iter(self.rests.values())) <= now:
+            del self.rests[next(iter(self.rests))]
+
     def leave(self, job: Job) -> None:
         """A key moves on when a request has ended and no attempt's outcome is open."""
         if job.ended and not job.out and job in self.keys.get(job.key, ()):
@@ -178,10 +184,13 @@
 
     def add(self, name: tuple[int, int], until: float, engine: Engine, message: messages.Message) -> None:
         loads = message.tables if message.is_load else None
-        told = Told(until, engine, message.threads, message.memory_share * engine.memory_size, loads)
+        memory = message.memory_share * engine.memory_size
+        self.put(name, Told(until, engine, message.threads, memory, loads))
+
+    def put(self, name: tuple[int, int], told: Told) -> None:
         self.entries[name] = told
         self._count(told, 1)
-        heapq.heappush(self.ends, (until, name))
+        heapq.heappush(self.ends, (told.until, name))
 
     def forget(self, name: tuple[int, int]) -> None:
         if told := self.entries.pop(name, None):
--- a/saffronlane/storage/files.py
+++ b/saffronlane/storage/files.py
@@ -70,7 +70,21 @@
         self.folder = folder
         if make:
             folder.mkdir(parents=True, exist_ok=True)
-        self._fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        self._fd = self._open()
+
+    def _open(self) -> int:
+        return os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+
+    def reopen(self) -> bool:
+        """Hold the folder that has the path now; whether that is another one. Makes one if there is none."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        fd = self._open()
+        if os.path.samestat(os.fstat(fd), os.fstat(self._fd)):
+            os.close(fd)
+            return False
+        self.close()
+        self._fd = fd
+        return True
 
     def names(self) -> list[str]:
         return os.listdir(self._fd)
--- a/saffronlane/storage/writer.py
+++ b/saffronlane/storage/writer.py
@@ -50,6 +50,7 @@
     Args:
         store: loaded, not yet begun; belongs to this object from now on.
         tell: hears in words of failures and repairs; called on the writer's thread.
+        before_repair: called there before each try to go on with fresh files; may raise OSError.
     """
 
     def __init__(
@@ -57,10 +58,12 @@
         store: Store,
         tell: Tell,
         limits: WriterLimits | None = None,
+        before_repair: Callable[[], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._store, self._tell, self._clock = store, tell, clock
         self._limits = limits or WriterLimits()
+        self._before_repair = before_repair
         self._wake = threading.Condition()
         self._waiting: dict[bytes, Entry | None] = {}
         self._since = 0.0  # when the oldest of them came
@@ -86,6 +89,7 @@
         with self._wake:
             if not self._waiting:
                 self._since = self._clock()
+                self._wake.notify()
             for key, entry in changes:
                 if key in self._waiting or len(self._waiting) < self._limits.most_waiting:
                     self._waiting[key] = entry
@@ -114,7 +118,8 @@
         self._begin()
         while True:
             with self._wake:
-                self._wake.wait_for(lambda: bool(self._askers) or self._stopping, self._patience())
+                if not self._askers and not self._stopping:
+                    self._wake.wait(self._patience())
                 stopping = self._stopping
                 due = self._waiting and self._clock() >= self._since + self._limits.lag
                 changes, askers = [], self._askers
@@ -177,8 +182,10 @@
 
     def _begin(self) -> None:
         try:
+            if self._status.failures and self._before_repair is not None:
+                self._before_repair()
             self._store.begin()
-        except StoreFailed as error:
+        except (StoreFailed, OSError) as error:
             self._fell(error)
         else:
             if self._status.failures:
@@ -186,7 +193,7 @@
             self._repair_gap = self._limits.repair_after
             self._status = replace(self._status, working=True, why="", last_sync=self._clock())
 
-    def _fell(self, error: StoreFailed) -> None:
+    def _fell(self, error: Exception) -> None:
         if self._status.working or not self._status.failures:
             self._tell(f"knowledge is not kept any more: {error}")
         self._status = replace(
