--- a/saffronlane/cli.py
+++ b/saffronlane/cli.py
@@ -12,6 +12,7 @@
 
 from . import __version__, logs
 from .config import Config, ConfigError, load_config, schema_text
+from .knowledge_cli import knowledge
 
 FILE = click.Path(dir_okay=False, path_type=Path)
 
@@ -207,5 +208,7 @@
     sys.exit(1 if breaches else 0)
 
 
+main.add_command(knowledge)
+
 if __name__ == "__main__":
     main()
--- a/saffronlane/dispatch/__init__.py
+++ b/saffronlane/dispatch/__init__.py
@@ -13,7 +13,17 @@
     Serve,
     StartAttempt,
 )
-from .inputs import AttemptDone, AttemptNote, ClientLeft, Input, ResultReady, StopNow, StopTaking, Submit
+from .inputs import (
+    AttemptDone,
+    AttemptNote,
+    ClientLeft,
+    Forget,
+    Input,
+    ResultReady,
+    StopNow,
+    StopTaking,
+    Submit,
+)
 
 __all__ = [
     "AttemptDone",
@@ -25,6 +35,7 @@
     "Dispatcher",
     "Effect",
     "FailRequest",
+    "Forget",
     "Input",
     "Keep",
     "RecallAttempt",
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -77,6 +77,8 @@
         self.gateway = Gateway(settings, seed)
         self.keeper = Keeper(settings, memory, keeping)
         self.keeper.begin(self.gateway)
+        # To be written before anything else: what was recalled, on this run's clock.
+        self.first_changes = self.keeper.first(self.gateway) if keeping else []
         self._listed = False  # the gateway has had a list
         self._ahead: dict[bytes, None] = {}  # keys of entries that attempts of this step wait for, in order
         self.faults = 0  # times that the decisions failed and were begun anew
@@ -98,6 +100,7 @@
             inp.AttemptDone: self._on_done,
             inp.AttemptNote: self._on_note,
             inp.ClientLeft: self._on_left,
+            inp.Forget: self._on_forget,
             inp.StopTaking: self._on_stop_taking,
             inp.StopNow: self._on_stop_now,
             api.ListUpdate: self._on_list,
@@ -206,15 +209,18 @@
         return ()
 
     def _wash(self, events: list[api.Event]) -> None:
-        """Answers tell whether what was recalled holds."""
+        """Answers tell whether what was recalled holds, and so does their absence."""
         for event in events if self.keeper.wash.under_way else ():
-            if isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.OK:
+            if isinstance(event, api.Arrival):
+                self.keeper.asked(self.gateway, event.cls)
+            elif isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.OK:
                 request = self._requests[event.request]
                 said = self.keeper.answered(
                     self.gateway, request.cls, request.cost, event.elapsed, event.work
                 )
                 if said:
                     self._effects.append(api.Log(said))
+        self._effects += [api.Log(said) for said in self.keeper.unheard(self.gateway)]
 
     def _begin_anew(self, now: float, why: str) -> None:
         """A new gateway takes over what the old one knew, as if it had been restarted."""
@@ -364,6 +370,10 @@
                 if entry is None or entry.state is not api.EngineState.READY:
                     self._effects.append(fx.RecallAttempt(request.id, attempt.n))
 
+    def _on_forget(self, event: inp.Forget) -> list[api.Event]:
+        self.keeper.forget(self.gateway, event.what)
+        return []
+
     def _on_stop_taking(self, event: inp.StopTaking) -> list[api.Event]:
         if self._stop_at is None:
             self._stop_at = self._now + event.grace
--- a/saffronlane/dispatch/inputs.py
+++ b/saffronlane/dispatch/inputs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
+from ..knowledge import What
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,13 @@
     amount: float
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """An operator wants what was learned forgotten."""
+
+    what: tuple[What, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLeft:
     request: int
@@ -77,6 +85,7 @@
     | AttemptDone
     | AttemptNote
     | ClientLeft
+    | Forget
     | StopTaking
     | StopNow
     | api.ListUpdate
@@ -89,6 +98,7 @@
     AttemptDone,
     AttemptNote,
     ClientLeft,
+    Forget,
     StopTaking,
     StopNow,
     api.ListUpdate,
--- a/saffronlane/folder.py
+++ b/saffronlane/folder.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import json
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import structlog
@@ -12,7 +14,7 @@
 from . import __version__
 from .config import Config
 from .dispatch import Dispatcher
-from .knowledge import Memory, Moment
+from .knowledge import Memory, Moment, What
 from .knowledge import kept as k
 from .storage import (
     Change,
@@ -30,6 +32,7 @@
 SIGN = 1.0  # seconds between two signs of life
 REPORT = 60.0  # seconds between two reports in the log
 LAST_COMMIT = 2.0  # seconds that the end of the process waits for its last commit
+FORGET = "forget"  # file by which an operator asks a running gateway
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")  # random(4)
 
 
@@ -57,6 +60,7 @@
         self._files: RealFiles | None = None
         self._writer: Writer | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self.on_forget: Callable[[tuple[What, ...]], None] | None = None
         self._report_at = loop.time() + REPORT
         entries: tuple[tuple[bytes, Entry], ...] = ()
         try:
@@ -76,7 +80,7 @@
             log.warning("knowledge left out", folder=str(self.path), what=text)
         if found.newer:
             log.warning("knowledge of a newer version is left alone", files=found.newer)
-        self._writer = Writer(store, self._tell, before_repair=self._reopen)
+        self._writer = Writer(store, self._tell, before_repair=self._reopen, each_turn=self._look)
         log.info(
             "knowledge read",
             folder=str(self.path),
@@ -98,6 +102,24 @@
             except FolderBusy as error:
                 raise OSError(str(error)) from None
 
+    def _look(self) -> None:
+        """Whether an operator left a request. On the writer's thread."""
+        request = self.path / FORGET
+        if not request.exists():
+            return
+        try:
+            what = tuple(What(w) for w in json.loads(request.read_bytes()))
+        except (ValueError, TypeError) as error:
+            log.error("request not understood", file=str(request), why=str(error))
+            what = ()
+        request.unlink()
+        if What.ALL in what:
+            log.error("ledgers of a running gateway are not forgotten", file=str(request))
+        elif what and self.on_forget is not None:
+            log.warning("an operator has knowledge forgotten", what=[w.value for w in what])
+            with contextlib.suppress(RuntimeError):
+                self._loop.call_soon_threadsafe(self.on_forget, what)
+
     def _tell(self, text: str) -> None:
         log.error(text, folder=str(self.path))
 
@@ -132,7 +154,7 @@
         for note in summary.notes:
             log.warning("knowledge", note=note)
         if self._writer is not None:
-            self._writer.put([*dispatcher.keeper.first(dispatcher.gateway), self._sign()])
+            self._writer.put([*dispatcher.first_changes, self._sign()])
             self._writer.start()
             self._timer = self._loop.call_later(SIGN, self._beat)
 
--- /dev/null
+++ b/saffronlane/knowledge/forget.py
@@ -0,0 +1,63 @@
+"""What an operator may want forgotten, in a running gateway or in what is kept.
+
+Ledgers that rules stand on (requests by key, ordering keys, the budget's window, what cold engines were sent)
+go only with ALL, and only from a folder that no gateway uses.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+from msgspec.structs import replace
+
+from ..rules import Gateway, Learned
+from ..storage import Change, Entry
+from . import kept as k
+
+
+class What(Enum):
+    CLASSES = "classes"  # times, ratios, needs, and the limit that came of them
+    ENGINES = "engines"  # health, reports
+    ALL = "all"
+
+
+def in_gateway(gateway: Gateway, what: Iterable[What]) -> None:
+    """Begin anew with these, while it runs. ALL is not for a running gateway: ValueError."""
+    for one in what:
+        if one is What.CLASSES:
+            gateway.learned[:] = [Learned(cls) for cls in gateway.settings.classes]
+            gateway.limit, gateway.crowd = float("inf"), 1.0
+        elif one is What.ENGINES:
+            for engine in gateway.engines.values():
+                engine.fails, engine.judged, engine.full = 0.0, float("-inf"), float("-inf")
+                engine.ill = engine.silent = False
+            gateway.trust()
+        else:
+            raise ValueError("the ledgers of a running gateway are not forgotten")
+
+
+def in_entries(entries: Iterable[tuple[bytes, Entry]], what: Iterable[What]) -> list[Change]:
+    """The changes that make kept entries forget these."""
+    chosen, found = set(what), []
+    for key, entry in entries:
+        kind = k.kind_of(key)
+        if What.ALL in chosen or (What.CLASSES in chosen and kind in (k.CLASS, k.FLEET)):
+            found.append(Change(key, None))
+        elif What.ENGINES in chosen and kind == k.ENGINE:
+            try:
+                engine = k.decode(key, entry)
+            except k.Unreadable:
+                continue
+            if isinstance(engine, k.EngineKept):
+                well = replace(
+                    engine,
+                    fails=0.0,
+                    ill=False,
+                    silent=False,
+                    judged=k.NEVER,
+                    full=k.NEVER,
+                    reported_at=k.NEVER,
+                )
+                found.append(k.change(key, well))
+    return found
--- a/saffronlane/knowledge/keeper.py
+++ b/saffronlane/knowledge/keeper.py
@@ -15,6 +15,7 @@
 from . import export
 from . import kept as k
 from .clock import Moment
+from .forget import What, in_gateway
 from .ledger import Ledger
 from .recall import Memory, Recall, Summary
 from .wash import Wash
@@ -42,9 +43,11 @@
         self._written: dict[bytes, Entry] = {}
         if memory is not None and keeping:
             self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+        self._newer = self._recall.newer if self._recall is not None else frozenset()
         self._counts: dict[str, int] = {}  # by class, at its last writing
         self._next = -math.inf
         self._touched = False
+        self._dropped: list[bytes] = []  # keys to be removed at the next look
         self._listed = False
 
     # --- at the start ---
@@ -67,8 +70,25 @@
         if self._recall is not None:
             self._recall.tell(gateway)
 
+    def forget(self, gateway: Gateway, what: Iterable[What]) -> None:
+        """Begin anew with what an operator names, here and on disk."""
+        in_gateway(gateway, what)
+        if What.CLASSES in what:
+            self.wash, self._counts = Wash(), {}
+            if self._recall is not None:
+                self._recall.masses.clear()
+            self._dropped = [key for key in self._written if k.kind_of(key) == k.CLASS]
+        self.touch()
+
     # --- as requests come and go ---
 
+    def asked(self, gateway: Gateway, cls: int) -> None:
+        self.wash.asked(cls, gateway.now)
+
+    def unheard(self, gateway: Gateway) -> list[str]:
+        """Words for the log on classes that were dropped because no answer came."""
+        return self.wash.unheard(gateway.learned, gateway.now) if self.wash.under_way else []
+
     def answered(self, gateway: Gateway, cls: int, cost: float, elapsed: float, work: float) -> str:
         """One answer that was learned from; words for the log, or none."""
         if not self.wash.under_way:
@@ -138,7 +158,8 @@
 
     def _all(self, gateway: Gateway, every: bool = False) -> dict[bytes, k.Kept | None]:
         masses = self._recall.masses if self._recall is not None else {}
-        found: dict[bytes, k.Kept | None] = {}
+        found: dict[bytes, k.Kept | None] = dict.fromkeys(self._dropped)
+        self._dropped = []
         for name, one in export.classes(gateway, masses).items():
             if every or self._counts.get(one.mark) != one.count:
                 self._counts[one.mark] = one.count
@@ -186,8 +207,10 @@
             made = k.change(key, value)
             if made.entry == self._written.get(key):
                 continue
+            if made.entry is None and key in self._newer:
+                continue  # not ours to remove: a later version may come back to it
             if made.entry is None:
-                del self._written[key]
+                self._written.pop(key, None)
             else:
                 self._written[key] = made.entry
             found.append(made)
--- a/saffronlane/knowledge/recall.py
+++ b/saffronlane/knowledge/recall.py
@@ -58,10 +58,13 @@
         self._budget: k.BudgetKept | None = None
         self._fleet: k.FleetKept | None = None
         self._told: k.ToldKept | None = None
+        self.newer: frozenset[bytes] = frozenset()  # keys that a later version wrote
         values: dict[bytes, k.Kept] = {}
         for key, value in k.decode_all(memory.entries):
             if isinstance(value, k.Unreadable):
                 self.summary.notes.append(str(value))
+                if isinstance(value, k.Newer):
+                    self.newer |= {key}
             else:
                 values[key] = value
         run = values.pop(k.RUN, None)
@@ -180,8 +183,11 @@
             known.count = round(min(1.0, weigh.COUNT_MOST / max(1, whole)) * count)
             if self.masses[index] >= SEED_ANSWERS:  # enough is known to judge a query by
                 known.count = max(known.count, int(SEED_ANSWERS))
-            known.recalled_count = known.count
             known.set_pace()
+            if not weigh.may_refuse(known.exec_time(), known.cls.deadline):
+                known.count = 0
+                known.set_pace()
+            known.recalled_count = known.count
 
     def _engine(self, engine: Engine) -> None:
         """An engine as it is first listed: what is known of this very process, if it still is that one."""
@@ -265,4 +271,6 @@
         seeds[3] * SEED_ANSWERS,
     )
     known.best, known.need = 1.0, 0.0
+    known.count -= known.recalled_count
+    known.recalled_count = 0
     known.set_pace()
--- a/saffronlane/knowledge/wash.py
+++ b/saffronlane/knowledge/wash.py
@@ -24,6 +24,7 @@
     sums: tuple[float, float, float, float]  # recalled, without seeds
     total: float = 0.0
     answers: int = 0
+    asked: float = math.inf  # first
 
 
 class Wash:
@@ -41,6 +42,25 @@
         sums = (whole, whole * kept.latency, whole * kept.work, whole * kept.calm)
         self._trials[index] = _Trial(kept, sums)
 
+    def asked(self, index: int, now: float) -> None:
+        """A query of a class has come."""
+        trial = self._trials.get(index)
+        if trial is not None:
+            trial.asked = min(trial.asked, now)
+
+    def unheard(self, learned: list[Learned], now: float) -> list[str]:
+        """Drop what may itself be the reason that no answer comes; words for the log."""
+        said = []
+        for index, trial in list(self._trials.items()):
+            known = learned[index]
+            if not trial.answers and weigh.unheard(trial.asked, now, known.cls.deadline):
+                del self._trials[index]
+                unteach(known, trial.kept.cost, trial.sums, 0)
+                said.append(
+                    f"class {known.cls.name}: no answer bears out what was recalled, and it is dropped"
+                )
+        return said
+
     def answered(self, index: int, known: Learned, cost: float, elapsed: float, work: float) -> str:
         """One answer of a class, after it was learned from. Returns words for the log if the class fails."""
         trial = self._trials.get(index)
--- a/saffronlane/knowledge/weigh.py
+++ b/saffronlane/knowledge/weigh.py
@@ -31,6 +31,8 @@
 KNOWN_MOST = 4096  # engines remembered
 WRONG, WRONG_AFTER = math.log(3.0), 4  # mean log ratio, and answers, that say a class's knowledge is wrong
 SCATTER = 1.0  # of one answer's log ratio, where a class's own is not known
+REFUSING = 0.5  # of its deadline: knowledge that a class takes longer would refuse it whole, for good
+UNHEARD = 2.0  # deadlines: a class that is asked for and brings no answer so long begins anew
 REPEATS = 3.0  # of its deadline: how long a client may still repeat a request, after a key's own time
 
 
@@ -98,6 +100,19 @@
     return (1.0 - DECAY**answers) / (1.0 - DECAY)
 
 
+def may_refuse(exec_time: float, deadline: float) -> bool:
+    """Whether recalled knowledge may refuse queries before an answer bears it out.
+
+    What says that no query of a class can end in time would keep away the very answers that disprove it.
+    """
+    return exec_time <= REFUSING * deadline
+
+
+def unheard(since: float, now: float, deadline: float) -> bool:
+    """Whether a class has been asked for so long without an answer that what is recalled may be the cause."""
+    return now - since > UNHEARD * deadline
+
+
 def wrong(total: float, answers: int, scatter: float) -> bool:
     """Whether answers lie so far from what was recalled that chance does not explain it."""
     if answers < WRONG_AFTER:
--- /dev/null
+++ b/saffronlane/knowledge_cli.py
@@ -0,0 +1,228 @@
+"""`saffronlane knowledge`: what a folder holds, and what is to be forgotten."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+import sys
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .config import ConfigError, load_config
+from .folder import FORGET, boot_id
+from .knowledge import Memory, Moment, Recall, weigh
+from .knowledge import kept as k
+from .knowledge.clock import between
+from .knowledge.forget import What, in_entries
+from .storage import FolderBusy, FolderLock, RealFiles, Recovery, Store, StoreFailed, recover
+from .storage.files import LOCK_NAME
+
+FOLDER = click.Path(file_okay=False, exists=True, path_type=Path)
+ANSWER = 5.0  # seconds that a running gateway has to take a request
+
+
+@click.group()
+def knowledge() -> None:
+    """Look at what a gateway keeps, or make it forget."""
+
+
+def _read(folder: Path) -> Recovery:
+    try:
+        files = RealFiles(folder, make=False)
+        try:
+            return recover(files)
+        finally:
+            files.close()
+    except OSError as error:
+        click.echo(f"{folder}: {error.strerror}", err=True)
+        sys.exit(2)
+
+
+def _values(found: Recovery) -> tuple[dict[bytes, k.Kept], list[str]]:
+    values, problems = {}, []
+    for key, value in k.decode_all(sorted(found.state.items())):
+        if isinstance(value, k.Unreadable):
+            problems.append(str(value))
+        else:
+            values[key] = value
+    return values, problems
+
+
+def holder(folder: Path) -> str:
+    """The process that uses the folder; empty: none. Takes no lock."""
+    try:
+        fd = os.open(folder / LOCK_NAME, os.O_RDONLY | os.O_CLOEXEC)
+    except OSError:
+        return ""
+    try:
+        fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return os.pread(fd, 32, 0).decode("ascii", "replace").strip() or "unknown"
+    except OSError:
+        return ""
+    finally:
+        os.close(fd)
+    return ""
+
+
+def _now(folder: Path) -> Moment:
+    try:
+        status = (folder / LOCK_NAME).stat()
+        place = f"{status.st_dev:x}.{status.st_ino:x}"
+    except OSError:
+        place = ""
+    return Moment(time.monotonic(), time.time(), boot_id(), place)
+
+
+def _told(folder: Path, found: Recovery) -> dict[str, Any]:
+    """What `show` says, for programs."""
+    values, problems = _values(found)
+    now = _now(folder)
+    told: dict[str, Any] = {
+        "folder": str(folder),
+        "used_by": holder(folder),
+        "sequence": found.sequence,
+        "entries": len(found.state),
+        "bytes": sum(found.sizes.values()),
+        "dropped": found.dropped + problems,
+        "newer": found.newer,
+    }
+    run = values.get(k.RUN)
+    if isinstance(run, k.RunKept):
+        gap = between(Moment(run.mono, run.wall, run.boot, run.place), now)
+        told["last_sign"] = {
+            "seconds_ago": round(gap.most, 3),
+            "sure": gap.sure,
+            "clean": run.clean,
+            "program": run.program,
+            "gateway": f"{run.position} of {run.gateways}",
+        }
+    kinds = {"classes": k.CLASS, "engines": k.ENGINE, "requests": k.SENT, "orders": k.ORDER}
+    for name, kind in kinds.items():
+        told[name] = sum(k.kind_of(key) == kind for key in values)
+    return told
+
+
+@knowledge.command()
+@click.argument("folder", type=FOLDER)
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def show(folder: Path, as_json: bool) -> None:
+    """What the folder holds, whether a gateway uses it or not."""
+    found = _read(folder)
+    told = _told(folder, found)
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+        return
+    for name, value in told.items():
+        click.echo(f"{name:>10}  {value if not isinstance(value, list) else '; '.join(value) or '-'}")
+    values, _ = _values(found)
+    run = values.get(k.RUN)
+    age = told.get("last_sign", {}).get("seconds_ago", float("inf"))
+    for key, value in values.items():
+        if isinstance(value, k.ClassKept):
+            since = age + (run.mono - value.at if isinstance(run, k.RunKept) else 0.0)
+            worth = weigh.mass(value.mass, since, 1.0)
+            click.echo(
+                f"{k.name_of(key)}: {value.mass:.1f} answers, {worth:.1f} by now; "
+                f"latency {value.latency:.4g} s, work {value.work:.4g} s a unit of cost {value.cost:.4g}"
+            )
+        elif isinstance(value, k.EngineKept):
+            state = "silent" if value.silent else "ill" if value.ill else "well"
+            click.echo(
+                f"{k.name_of(key)}: {state}, failures {value.fails:.2f}, {len(value.sent)} sent while cold"
+            )
+
+
+@knowledge.command()
+@click.argument("folder", type=FOLDER)
+@click.option("--config", "settings", type=click.Path(dir_okay=False, path_type=Path))
+def check(folder: Path, settings: Path | None) -> None:
+    """Whether all of it is whole; with the gateway's settings, what it counts for now. Exit 1: damage."""
+    found = _read(folder)
+    _, problems = _values(found)
+    for text in [
+        *found.dropped,
+        *problems,
+        *(f"{name}: of a newer version, left alone" for name in found.newer),
+    ]:
+        click.echo(text)
+    if settings is not None:
+        try:
+            config = load_config(settings)
+        except ConfigError as error:
+            click.echo(str(error), err=True)
+            sys.exit(2)
+        recall = Recall(config.settings, Memory(tuple(found.state.items()), _now(folder)))
+        trust, summary = recall.trust, recall.summary
+        click.echo(f"age {summary.age:.1f} s, exact {trust.exact}, weight {trust.factor:g}")
+        for note in summary.notes:
+            click.echo(note)
+    click.echo("whole" if not (found.dropped or problems) else "not all of it could be read")
+    sys.exit(1 if found.dropped or problems else 0)
+
+
+@knowledge.command()
+@click.argument("folder", type=FOLDER)
+def export(folder: Path) -> None:
+    """All entries as JSON, one a line."""
+    values, _ = _values(_read(folder))
+    for key, value in values.items():
+        click.echo(json.dumps({"key": k.name_of(key)} | k.plain(value), default=_text))
+
+
+def _text(value: object) -> str:
+    return value.decode("utf-8", "backslashreplace") if isinstance(value, bytes) else str(value)
+
+
+@knowledge.command()
+@click.argument("folder", type=FOLDER)
+@click.argument("what", type=click.Choice([w.value for w in What]), nargs=-1, required=True)
+def forget(folder: Path, what: tuple[str, ...]) -> None:
+    """Forget CLASSES (times, needs), ENGINES (health) or ALL. A running gateway is asked to, but for ALL."""
+    chosen = [What(w) for w in what]
+    try:
+        lock = FolderLock(folder)
+    except FolderBusy as error:
+        _ask(folder, chosen, str(error))
+        return
+    except OSError as error:
+        click.echo(f"{folder}: {error.strerror}", err=True)
+        sys.exit(2)
+    try:
+        store = Store(RealFiles(folder))
+        store.load()
+        changes = in_entries(store.state.items(), chosen)
+        store.begin()
+        if changes:
+            store.commit(changes)
+        store.finish()  # twice: the generation before it goes too
+        store.finish()
+    except (OSError, StoreFailed) as error:
+        click.echo(f"{folder}: {error}", err=True)
+        sys.exit(2)
+    finally:
+        lock.release()
+    click.echo(f"{len(changes)} entries changed")
+
+
+def _ask(folder: Path, chosen: Iterable[What], busy: str) -> None:
+    if What.ALL in chosen:
+        click.echo(f"{busy}; rules stand on its ledgers, so stop it first to forget all", err=True)
+        sys.exit(2)
+    request = folder / FORGET
+    fresh = folder / f"{FORGET}.new"
+    fresh.write_text(json.dumps([w.value for w in chosen]))
+    os.replace(fresh, request)
+    end = time.monotonic() + ANSWER
+    while request.exists():
+        if time.monotonic() > end:
+            request.unlink(missing_ok=True)
+            click.echo(f"{busy}, and it did not take the request in {ANSWER:g} s", err=True)
+            sys.exit(2)
+        time.sleep(0.05)
+    click.echo("the running gateway forgets them")
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -562,7 +562,9 @@
         self.turns.join(job)
         self.timer(job.limit - END_MARGIN, job)
         self.held[job.id] = job
-        if self.probing and self.heavy(job):
+        if job.earlier and self.expired(job):
+            self.finish(job)
+        elif self.probing and self.heavy(job):
             self.ask_around(job)
 
     def earlier(self, job: Job, told: api.Earlier) -> Attempt:
--- a/saffronlane/storage/writer.py
+++ b/saffronlane/storage/writer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -51,6 +52,7 @@
         store: loaded, not yet begun; belongs to this object from now on.
         tell: hears in words of failures and repairs; called on the writer's thread.
         before_repair: called there before each try to go on with fresh files; may raise OSError.
+        each_turn: called there after each commit, and at least every `idle` seconds; may raise OSError.
     """
 
     def __init__(
@@ -59,11 +61,12 @@
         tell: Tell,
         limits: WriterLimits | None = None,
         before_repair: Callable[[], None] | None = None,
+        each_turn: Callable[[], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._store, self._tell, self._clock = store, tell, clock
         self._limits = limits or WriterLimits()
-        self._before_repair = before_repair
+        self._before_repair, self._each_turn = before_repair, each_turn
         self._wake = threading.Condition()
         self._waiting: dict[bytes, Entry | None] = {}
         self._since = 0.0  # when the oldest of them came
@@ -127,6 +130,9 @@
                     changes = [Change(key, entry) for key, entry in self._waiting.items()]
                     self._waiting, self._askers = {}, []
             self._turn(changes, askers)
+            if self._each_turn is not None:
+                with contextlib.suppress(OSError):
+                    self._each_turn()
             if stopping:
                 break
         try:
