--- a/saffronlane/lab/audit.py
+++ b/saffronlane/lab/audit.py
@@ -61,9 +61,13 @@
 
 
 class Audit:
-    """Reads one record. `settings` are those of the gateways, alike but for their positions."""
+    """Reads one record. `settings` are those of the gateways, alike but for their positions.
 
-    def __init__(self, record: list[Event], settings: api.Settings) -> None:
+    `lasting`: gateways that come back are held to what they did before, as if they had never been gone.
+    """
+
+    def __init__(self, record: list[Event], settings: api.Settings, lasting: bool = False) -> None:
+        self.lasting = lasting
         self.record = sorted(record, key=lambda e: e["at"])
         self.settings = settings
         self.classes = {c.name: c for c in settings.classes}
@@ -247,9 +251,15 @@
         for (_, key), queries in lines.items():
             queries.sort(key=lambda q: self.asked[q]["at"])
             for index, query in enumerate(queries):
+                since = self.asked[query]["at"] - CLOCK_SLACK  # sends before it belong to an earlier asking
                 for sent in self.sends[query]:
+                    if sent["at"] < since:
+                        continue
                     for earlier in queries[:index]:
                         self._in_order(key, earlier, query, sent["at"], settle)
+                    if self.lasting:
+                        before = [s for s in self.sends[query] if s["at"] < since]
+                        self._at_rest(key, query, before, query, sent["at"], settle)
 
     def _in_order(self, key: str, earlier: str, query: str, at: float, settle: float) -> None:
         asked = self.asked[earlier]["at"]
@@ -258,9 +268,12 @@
         later = [s for s in self.sends[earlier] if s["at"] > at + CLOCK_SLACK]
         if later:
             self.breach(5, at, f"key {key}: query {query} was sent before {earlier}, which came first")
-        for sent in self.sends[earlier]:
-            if sent["at"] > at:
-                continue
+        self._at_rest(key, earlier, [s for s in self.sends[earlier] if s["at"] <= at], query, at, settle)
+
+    def _at_rest(
+        self, key: str, earlier: str, sends: list[Event], query: str, at: float, settle: float
+    ) -> None:
+        for sent in sends:
             end = self.ends.get((earlier, sent["attempt"], sent["engine"]))
             if end is None or end["kind"] == "lost":
                 continue  # what its gateway saw of it is a time-out or cancel, which the answers show
@@ -297,7 +310,7 @@
             elif event["kind"] == "sent" and event.get("query") and int(event["attempt"] or 0) > 0:
                 extras[event["gateway"]].append(event["at"])
         for gateway, times in extras.items():
-            born = self.killed.get(gateway, float("-inf"))
+            born = float("-inf") if self.lasting else self.killed.get(gateway, float("-inf"))
             for at in times:
                 since = at - rules.budget_window
                 if since < born < at:
--- a/saffronlane/lab/clients.py
+++ b/saffronlane/lab/clients.py
@@ -17,6 +17,7 @@
 from .up import GatewayProcess
 
 Headers = tuple[tuple[str, str | bytes], ...]
+REPEAT_GAP = 0.25  # seconds before a client asks again
 PATIENCE = 1.0  # seconds past its time that a client still listens, to see answers that come too late
 
 
@@ -32,6 +33,7 @@
     cost: float
     driver: str
     gateway: int
+    repeats: int = 0  # times that the client asks again where the gateway has gone
 
 
 class _Recorder:
@@ -99,7 +101,14 @@
             return self._channel
 
     async def ask(self, query: Query) -> None:
-        """One query; what came of it goes to the record."""
+        """One query, asked again with the same key where its gateway has gone; all goes to the record."""
+        for _ in range(query.repeats + 1):
+            if await self._ask(query):
+                return
+            await asyncio.sleep(REPEAT_GAP)
+
+    async def _ask(self, query: Query) -> bool:
+        """Whether an answer came, or time ran out."""
         headers: Headers = (("x-lab-query", query.id), ("saffronlane-class", query.cls))
         headers += (("saffronlane-key", query.id),)
         if query.order:
@@ -123,17 +132,18 @@
         except (OSError, TimeoutError, RpcError):
             self._asked(query, asked)
             self._unreachable(query, self._loop.time())
-            return
+            return False
         call.write_now(message, end=True)
         self._asked(query, asked)
         status = await self._answer(call, query.timeout)
         at = self._loop.time()
         if status is None:
-            return  # nothing came: the audit sees that
+            return True  # nothing came: the audit sees that
         if call.ending is not None and call.ending.value in ("lost", "unprocessed", "reset"):
             self._unreachable(query, at)
-        else:
-            self._answered(query, at, status)
+            return False
+        self._answered(query, at, status)
+        return True
 
     @staticmethod
     async def _answer(call: ClientCall, timeout: float) -> Status | None:
--- a/saffronlane/lab/day.py
+++ b/saffronlane/lab/day.py
@@ -79,11 +79,15 @@
     if zones:
         place["zone"] = zones[position % len(zones)]
     place["grace_s"] = raw.get("grace_s", 2.0)
+    kept = raw["gateway"].get("knowledge")
+    if kept is not None:
+        kept = kept | {"folder": f"{kept['folder']}-{position}"}
     return {
         "listen": {"port": 0},
         "engines": {"file": "engines.json", "poll_s": POLL},
         "gateway": place,
         **raw["gateway"],
+        **({"knowledge": kept} if kept is not None else {}),
     }
 
 
@@ -188,6 +192,7 @@
         self, day: Day, fleet: Fleet, gateways: list[GatewayProcess], record: Callable[[Event], None]
     ):
         self._day, self._fleet, self._gateways, self._record = day, fleet, gateways, record
+        self._busy = [asyncio.Lock() for _ in gateways]
         self._loop = asyncio.get_running_loop()
 
     async def run(self, start: float) -> None:
@@ -202,7 +207,8 @@
         end = at + fault["for_s"] if "for_s" in fault else None
         await self._until(at)
         if kind in ("kill", "stop"):
-            await self._gateway(kind, fault["gateway"], end)
+            async with self._busy[fault["gateway"]]:  # one that is still starting is not ended yet
+                await self._gateway(kind, fault["gateway"], end)
         elif kind == "list-broken":
             self._fleet.break_list()
             if end is not None:
@@ -296,6 +302,7 @@
                 cost=work if stream.get("tells_cost") else 0.0,
                 driver=stream.get("driver", "grpc"),
                 gateway=int(random.integers(raw.get("gateways", 1))),
+                repeats=stream.get("repeats", 0),
             )
             found.append((at, query))
             number += 1
@@ -350,7 +357,7 @@
     for event in record:
         if "limit" in event:
             event["limit"] -= start
-    report = Audit(record, day.config.settings).run()
+    report = Audit(record, day.config.settings, day.raw.get("lasting", False)).run()
     return Outcome(report, record, codes, time.monotonic() - began)
 
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -23,6 +23,7 @@
     "gateway-kill",
     "lost-answers",
     "overload",
+    "restarts",
     "rolling-drain",
     "unsafe-and-ordered",
     "whole-path",
@@ -34,8 +35,21 @@
 def played(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Result]]:
     folder = tmp_path_factory.mktemp("days")
     processes = {}
-    for name in DAYS:
-        command = [sys.executable, "-m", "saffronlane", "lab", "day", name, "--report", str(folder / name)]
+    careless = json.loads(shipped("restarts").read_text())
+    del careless["gateway"]["knowledge"]
+    (folder / "careless.json").write_text(json.dumps(careless))
+    for day in (*DAYS, str(folder / "careless.json")):
+        name = Path(day).stem
+        command = [
+            sys.executable,
+            "-m",
+            "saffronlane",
+            "lab",
+            "day",
+            day,
+            "--report",
+            str(folder / Path(name).stem),
+        ]
         processes[name] = subprocess.Popen(
             command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
         )
@@ -63,6 +77,7 @@
         ("cold-restart", {"cold"}),
         ("gateway-kill", {"killed", "ended"}),
         ("unsafe-and-ordered", {"lost", "refused", "error"}),
+        ("restarts", {"killed", "ended", "cold", "error", "unreachable"}),
     ],
 )
 def test_a_day_has_the_troubles_that_it_is_for(name: str, kinds: set[str], played: dict[str, Result]) -> None:
@@ -70,6 +85,11 @@
     assert kinds <= {str(e["kind"]) for e in played[name][3]}
 
 
+def test_gateways_that_forget_break_rules_when_they_come_back(played: dict[str, Result]) -> None:
+    """The day of the restarts without the folder: else that it breaks no rule with it would prove nothing."""
+    assert played["careless"][2]["breaches"]
+
+
 def test_repeats_happen_and_most_are_served_all_the_same(played: dict[str, Result]) -> None:
     rows = {r["name"]: r for r in played["lost-answers"][2]["classes"]}  # type: ignore[attr-defined]
     again = [e for e in played["lost-answers"][3] if e["kind"] == "sent" and e["attempt"] == "1"]
