Folders that vanish, fill, hang or are shared; classes' scatter; version 2 of what is kept

Need: a folder may be in use by a process that still drains, disappear under a running gateway, or hang; and how far a class's answers scatter decides how soon recalled knowledge is found out to be wrong.

Change: a folder that is not free is tried each second and taken in while the gateway runs; one that is not at its path any more is made again with all that is known; ClassKept version 2 keeps the scatter of a class, version 1 is migrated and kept as a made fixture. tests/test_folder.py drives ENOSPC, EIO, a hanging fsync, a vanished folder, two daemons and the commands.

--- a/saffronlane/daemon.py
+++ b/saffronlane/daemon.py
@@ -88,6 +88,7 @@
     def start(self, sockets: list[socket.socket] | None = None) -> None:
         """Listen. OSError where the address cannot be had."""
         if self.folder is not None:
+            self.folder.on_attach = lambda memory: self.executor.feed(d.Attach(memory))
             self.folder.on_forget = lambda what: self.executor.feed(d.Forget(what))
             self.folder.start(self.dispatcher)
         if not self.source.look():
--- a/saffronlane/dispatch/__init__.py
+++ b/saffronlane/dispatch/__init__.py
@@ -14,6 +14,7 @@
     StartAttempt,
 )
 from .inputs import (
+    Attach,
     AttemptDone,
     AttemptNote,
     ClientLeft,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "Attach",
     "AttemptDone",
     "AttemptNote",
     "CancelAttempt",
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -101,6 +101,7 @@
             inp.AttemptNote: self._on_note,
             inp.ClientLeft: self._on_left,
             inp.Forget: self._on_forget,
+            inp.Attach: self._on_attach,
             inp.StopTaking: self._on_stop_taking,
             inp.StopNow: self._on_stop_now,
             api.ListUpdate: self._on_list,
@@ -210,7 +211,7 @@
 
     def _wash(self, events: list[api.Event]) -> None:
         """Answers tell whether what was recalled holds, and so does their absence."""
-        for event in events if self.keeper.wash.under_way else ():
+        for event in events:
             if isinstance(event, api.Arrival):
                 self.keeper.asked(self.gateway, event.cls)
             elif isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.OK:
@@ -374,6 +375,12 @@
         self.keeper.forget(self.gateway, event.what)
         return []
 
+    def _on_attach(self, event: inp.Attach) -> list[api.Event]:
+        """The first commit holds all that was recalled and all that is known here."""
+        self.first_changes = self.keeper.attach(self.gateway, event.memory)
+        self._effects.append(fx.Keep(tuple(self.first_changes)))
+        return []
+
     def _on_stop_taking(self, event: inp.StopTaking) -> list[api.Event]:
         if self._stop_at is None:
             self._stop_at = self._now + event.grace
--- a/saffronlane/dispatch/inputs.py
+++ b/saffronlane/dispatch/inputs.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
-from ..knowledge import What
+from ..knowledge import Memory, What
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,13 @@
     what: tuple[What, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """A folder that was not free at the start is, and this is what it holds."""
+
+    memory: Memory
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLeft:
     request: int
@@ -86,6 +93,7 @@
     | AttemptNote
     | ClientLeft
     | Forget
+    | Attach
     | StopTaking
     | StopNow
     | api.ListUpdate
@@ -98,6 +106,7 @@
     AttemptDone,
     AttemptNote,
     ClientLeft,
+    Attach,
     Forget,
     StopTaking,
     StopNow,
--- a/saffronlane/folder.py
+++ b/saffronlane/folder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import time
 from collections.abc import Callable
@@ -29,6 +30,7 @@
 )
 
 log = structlog.get_logger()
+AGAIN = 1.0  # seconds between tries of a folder that is not free
 SIGN = 1.0  # seconds between two signs of life
 REPORT = 60.0  # seconds between two reports in the log
 LAST_COMMIT = 2.0  # seconds that the end of the process waits for its last commit
@@ -48,7 +50,9 @@
     """One folder of one gateway. Whatever is wrong with it, the gateway goes on without, and says so.
 
     Attributes:
-        memory: what was read, for the dispatcher; without entries where nothing could be read.
+        memory: what was read, for the dispatcher; None: the folder is not in use (yet).
+        on_attach: told once it is, where it was not at the start.
+        on_forget: told what an operator wants forgotten.
     """
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
@@ -56,19 +60,35 @@
         self.path = config.knowledge
         self._config, self._loop = config, loop
         self._boot = boot_id()
+        self._why = ""
         self._lock: FolderLock | None = None
         self._files: RealFiles | None = None
         self._writer: Writer | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.on_forget: Callable[[tuple[What, ...]], None] | None = None
+        self.on_attach: Callable[[Memory], None] | None = None
+        self.memory: Memory | None = None
+        self._begun = False  # the first commit has been given to the writer
         self._report_at = loop.time() + REPORT
-        entries: tuple[tuple[bytes, Entry], ...] = ()
+        self._try()
+
+    def _try(self) -> None:
+        """Take the folder in use if it is free."""
         try:
-            entries = self._open()
+            self.memory = Memory(self._open(), self._moment())
         except (OSError, FolderBusy) as error:
-            log.error("knowledge is not kept", folder=str(self.path), why=str(error))
+            if str(error) != self._why:
+                log.error("knowledge is not kept", folder=str(self.path), why=str(error))
+            self._why = str(error)
             self._release()
-        self.memory = Memory(entries, self._moment())
+
+    def _try_again(self) -> None:
+        """Another process had the folder, as in a restart that overlaps, or it could not be read."""
+        self._try()
+        if self.memory is None:
+            self._timer = self._loop.call_later(AGAIN, self._try_again)
+        elif self.on_attach is not None:
+            self.on_attach(self.memory)
 
     def _open(self) -> tuple[tuple[bytes, Entry], ...]:
         began = time.monotonic()
@@ -103,10 +123,15 @@
                 raise OSError(str(error)) from None
 
     def _look(self) -> None:
-        """Whether an operator left a request. On the writer's thread."""
+        """Whether the folder is still there, and an operator left a request. On the writer's thread."""
+        if self._files is not None and self._files.moved():
+            raise FileNotFoundError(errno.ENOENT, "the folder has vanished")
         request = self.path / FORGET
-        if not request.exists():
-            return
+        with contextlib.suppress(OSError):
+            if request.exists():
+                self._take(request)
+
+    def _take(self, request: Path) -> None:
         try:
             what = tuple(What(w) for w in json.loads(request.read_bytes()))
         except (ValueError, TypeError) as error:
@@ -143,6 +168,9 @@
     def start(self, dispatcher: Dispatcher) -> None:
         """Begin to write: all that was recalled, on this run's clock, in one commit with its first sign."""
         summary = dispatcher.keeper.summary
+        if self.memory is None:
+            self._timer = self._loop.call_later(AGAIN, self._try_again)
+            return
         if self.memory.entries:
             log.info(
                 "knowledge recalled",
@@ -153,10 +181,7 @@
             )
         for note in summary.notes:
             log.warning("knowledge", note=note)
-        if self._writer is not None:
-            self._writer.put([*dispatcher.first_changes, self._sign()])
-            self._writer.start()
-            self._timer = self._loop.call_later(SIGN, self._beat)
+        self.keep(tuple(dispatcher.first_changes), ahead=False)
 
     def _beat(self) -> None:
         assert self._writer is not None
@@ -187,6 +212,12 @@
         """Write these; with `ahead`, at once, and the future tells whether they are durable."""
         if self._writer is None:
             return None
+        if not self._begun:
+            self._begun = True
+            self._writer.put([*changes, self._sign()])
+            self._writer.start()
+            self._timer = self._loop.call_later(SIGN, self._beat)
+            changes = ()
         if not ahead:
             self._writer.put(changes)
             return None
@@ -203,7 +234,7 @@
         """Leave a last snapshot, and give the folder free."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._writer is not None:
+        if self._writer is not None and self._begun:
             self._writer.put([*dispatcher.kept(), self._sign(clean=True)])
             if not self._writer.stop(LAST_COMMIT):
                 log.error("the last of what was known is not kept: the disk hangs", folder=str(self.path))
--- a/saffronlane/knowledge/export.py
+++ b/saffronlane/knowledge/export.py
@@ -17,17 +17,17 @@
     return max(time, NEVER)
 
 
-def classes(gateway: Gateway, recalled: dict[int, float]) -> dict[bytes, ClassKept]:
+def classes(gateway: Gateway, recalled: dict[int, float], scatters: list[float]) -> dict[bytes, ClassKept]:
     """Each class of which an answer is known. `recalled`: answers that earlier knowledge stood for."""
     found = {}
     for index, known in enumerate(gateway.learned):
-        kept = _class(gateway, known, recalled.get(index, 0.0))
+        kept = _class(gateway, known, recalled.get(index, 0.0), scatters[index])
         if kept is not None:
             found[known.cls.name.encode()] = kept
     return found
 
 
-def _class(gateway: Gateway, known: Learned, recalled: float) -> ClassKept | None:
+def _class(gateway: Gateway, known: Learned, recalled: float, scatter: float) -> ClassKept | None:
     answers = known.count - known.recalled_count
     seed = [part * weigh.left(1.0, answers) for part in known.seed]
     estimates, latencies, works, calm = (
@@ -48,6 +48,7 @@
         calm=calm / estimates,
         best=known.best,
         need=known.need,
+        scatter=scatter,
     )
 
 
--- a/saffronlane/knowledge/keeper.py
+++ b/saffronlane/knowledge/keeper.py
@@ -18,7 +18,7 @@
 from .forget import What, in_gateway
 from .ledger import Ledger
 from .recall import Memory, Recall, Summary
-from .wash import Wash
+from .wash import Scatter, Wash
 
 LAG = 0.5  # seconds between two looks at what has changed
 PATIENCE = 0.25  # seconds that an attempt waits for a disk that hangs; then it goes, and that is told
@@ -43,6 +43,7 @@
         self._written: dict[bytes, Entry] = {}
         if memory is not None and keeping:
             self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+        self._scatters = [Scatter() for _ in settings.classes]
         self._newer = self._recall.newer if self._recall is not None else frozenset()
         self._counts: dict[str, int] = {}  # by class, at its last writing
         self._next = -math.inf
@@ -63,7 +64,9 @@
         if self._recall is not None and not self._listed:
             self._recall.listed(gateway, entries)
             for index, mass in self._recall.masses.items():
-                self.wash.begin(index, self._recall.class_kept(index), mass)
+                kept = self._recall.class_named(gateway.learned[index].cls.name)
+                assert kept is not None
+                self.wash.begin(index, kept, mass)
         self._listed = True
 
     def after_list(self, gateway: Gateway) -> None:
@@ -91,6 +94,7 @@
 
     def answered(self, gateway: Gateway, cls: int, cost: float, elapsed: float, work: float) -> str:
         """One answer that was learned from; words for the log, or none."""
+        self._scatters[cls].add(math.log(max(1e-6, work if work > 0.0 else elapsed) / (cost or 1.0)))
         if not self.wash.under_way:
             return ""
         said = self.wash.answered(cls, gateway.learned[cls], cost or 1.0, elapsed, work)
@@ -134,6 +138,20 @@
         values: dict[bytes, k.Kept | None] = dict(self._recall.rebased) if self._recall is not None else {}
         return self._differing(values | {k.FLEET: export.fleet(gateway)})
 
+    def attach(self, gateway: Gateway, memory: Memory) -> list[Change]:
+        """Take a folder in that another process had until now, and begin to keep. Gives the first commit."""
+        self._recall = recall = Recall(self.settings, memory)
+        self.keeping, self._newer, self.summary = True, recall.newer, recall.summary
+        self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+        recall.attach(gateway, self.ledger)
+        for index, mass in recall.masses.items():
+            kept = recall.class_named(gateway.learned[index].cls.name)
+            assert kept is not None
+            self.wash.begin(index, kept, mass)
+        self._counts.clear()
+        self.ledger.changed.update(self.ledger.identities())
+        return self._differing({**recall.rebased, **self._all(gateway)})
+
     def changes(self, gateway: Gateway) -> list[Change]:
         """All that has changed since the last look."""
         self._next, self._touched = gateway.now + LAG, False
@@ -160,7 +178,7 @@
         masses = self._recall.masses if self._recall is not None else {}
         found: dict[bytes, k.Kept | None] = dict.fromkeys(self._dropped)
         self._dropped = []
-        for name, one in export.classes(gateway, masses).items():
+        for name, one in export.classes(gateway, masses, self._deviations()).items():
             if every or self._counts.get(one.mark) != one.count:
                 self._counts[one.mark] = one.count
                 found[k.CLASS + name] = one
@@ -180,6 +198,14 @@
         gone = (key for key in self._written if key not in found and self._fades(gateway, key))
         return found | dict.fromkeys(gone)
 
+    def _deviations(self) -> list[float]:
+        """Each class's scatter; what was recalled of it stands until enough is known."""
+        found = []
+        for cls, scatter in zip(self.settings.classes, self._scatters, strict=True):
+            old = self._recall.class_named(cls.name) if self._recall is not None else None
+            found.append(scatter.deviation or (old.scatter if old is not None else 0.0))
+        return found
+
     def _fades(self, gateway: Gateway, key: bytes) -> bool:
         """Whether an entry that nothing speaks for any more is to be removed."""
         kind = k.kind_of(key)
--- a/saffronlane/knowledge/kept.py
+++ b/saffronlane/knowledge/kept.py
@@ -45,6 +45,7 @@
     calm: float
     best: float
     need: float
+    scatter: float  # standard deviation of the logarithm of one answer; 0: not known
 
 
 class EngineKept(msgspec.Struct, array_like=True, frozen=True):
@@ -134,9 +135,11 @@
     SENT: SentKept,
     ORDER: OrderKept,
 }
-VERSIONS: dict[bytes, int] = dict.fromkeys(_TYPES, 1)
-# (kind, version) to what makes the fields of the next version of them.
-MIGRATIONS: dict[tuple[bytes, int], Callable[[list[Any]], list[Any]]] = {}
+VERSIONS: dict[bytes, int] = dict.fromkeys(_TYPES, 1) | {CLASS: 2}
+# (kind, version) to what makes the fields of the next version of them. They stay for good.
+MIGRATIONS: dict[tuple[bytes, int], Callable[[list[Any]], list[Any]]] = {
+    (CLASS, 1): lambda fields: [*fields, 0.0],  # version 2 has `scatter`
+}
 _ENCODER = msgspec.msgpack.Encoder()
 
 
--- a/saffronlane/knowledge/ledger.py
+++ b/saffronlane/knowledge/ledger.py
@@ -45,6 +45,10 @@
     def recall(self, identity: bytes, kept: SentKept) -> None:
         """Take an entry of an earlier run in, as of this run's clock."""
         self.changed.add(identity)
+        line = self._lines.get(identity)
+        if line is not None:  # asked here too since: the earlier attempt is the one that counts
+            line.kept, line.certain = (kept if kept.at < line.kept.at else line.kept), False
+            return
         self._lines[identity] = _Line(kept)
         heapq.heappush(self._ends, (kept.until, identity))
 
--- a/saffronlane/knowledge/recall.py
+++ b/saffronlane/knowledge/recall.py
@@ -20,6 +20,7 @@
 from .ledger import Ledger
 from .rebase import Rebase
 
+MOST_TAKEN = 100_000  # arrivals in a bin: more is no figure that this program wrote
 SAME_START = 2.0  # seconds; an engine's start is told in wall time, which two runs read a little apart
 
 
@@ -122,12 +123,29 @@
         gateway.now = gateway.born = self.now
         if self.trust.exact and self._fleet is not None:
             gateway.born = self._time(self._fleet.born)  # the ledgers below show what was sent since
+        self._take_ledgers(gateway, ledger)
+        if (fleet := self._fleet) is not None:
+            age = self._age(fleet.at)
+            gateway.limit = weigh.limit(fleet.limit, age)
+            if gateway.limit < math.inf:
+                gateway.crowd = max(1.0, min(fleet.crowd, 100.0))
+            gateway.recent.value, gateway.recent.at = fleet.lately, self._time(fleet.lately_at)
+        gateway.remembered = self._engine
+
+    def attach(self, gateway: Gateway, ledger: Ledger) -> None:
+        """Into a gateway that runs already: what rules stand on, and classes of which it knows nothing."""
+        self._take_ledgers(gateway, ledger)
+        engines = gateway.engines.values()
+        listed = tuple(api.EngineEntry(e.id, e.state, e.started, e.zone, e.kind, e.cell) for e in engines)
+        self.listed(gateway, listed)
+
+    def _take_ledgers(self, gateway: Gateway, ledger: Ledger) -> None:
         self._take_budget(gateway)
         settle = gateway.rules.order_settle
         for key, one in self._orders.items():
             until = self.now + settle if one.open else min(one.until, self.now + settle)
             if until > self.now:
-                gateway.turns.rests[key] = until
+                gateway.turns.rests[key] = max(until, gateway.turns.rests.get(key, -math.inf))
                 self.summary.orders += 1
         names = {c.name: c for c in self.settings.classes}
         for identity, sent in self._sent.items():
@@ -137,24 +155,18 @@
             if until > self.now:
                 ledger.recall(identity, replace(sent, until=until))
                 self.summary.requests += 1
-        if (fleet := self._fleet) is not None:
-            age = self._age(fleet.at)
-            gateway.limit = weigh.limit(fleet.limit, age)
-            if gateway.limit < math.inf:
-                gateway.crowd = max(1.0, min(fleet.crowd, 100.0))
-            gateway.recent.value, gateway.recent.at = fleet.lately, self._time(fleet.lately_at)
-        gateway.remembered = self._engine
 
     def _take_budget(self, gateway: Gateway) -> None:
         if self._budget is None or gateway.rules.budget_free is None:
             return
         since = self.now - gateway.rules.budget_window - 2.0 * gateway.settings.tick
-        extras = sorted(self._time(at) for at in self._budget.extras)
-        gateway.extras.extend(at for at in extras if at > since)
-        for start, count in sorted(self._budget.taken):
-            at = self._time(start)
-            if at > since:
-                gateway.taken.extend([at] * count)
+        extras = [*gateway.extras, *map(self._time, self._budget.extras)]
+        taken = list(gateway.taken)
+        for start, count in self._budget.taken:
+            taken += [self._time(start)] * min(count, MOST_TAKEN)
+        for window, times in ((gateway.extras, extras), (gateway.taken, taken)):
+            window.clear()
+            window.extend(sorted(at for at in times if at > since))
 
     def listed(self, gateway: Gateway, entries: tuple[api.EngineEntry, ...]) -> None:
         """What classes have taught, weighed by how much of the fleet is the same. Before the list's step."""
@@ -163,7 +175,7 @@
         fleet = weigh.fleet_factor({name: e.cores for name, e in self._engines.items()}, listed)
         for index, known in enumerate(gateway.learned):
             one = self._classes.get(known.cls.name)
-            if one is None:
+            if one is None or known.count:
                 continue
             if one.mark != k.class_mark(self.settings, known.cls):
                 self.summary.notes.append(f"class {known.cls.name}: its settings have changed")
@@ -212,9 +224,8 @@
         engine.reported = one.reported
         engine.reported_at = self._time(one.reported_at)
 
-    def class_kept(self, index: int) -> k.ClassKept:
-        """What was recalled of a class that `masses` names."""
-        return self._classes[self.settings.classes[index].name]
+    def class_named(self, name: str) -> k.ClassKept | None:
+        return self._classes.get(name)
 
     def tell(self, gateway: Gateway) -> None:
         """What other gateways told, once the engines are known."""
--- a/saffronlane/knowledge/wash.py
+++ b/saffronlane/knowledge/wash.py
@@ -10,14 +10,36 @@
 import math
 from dataclasses import dataclass
 
-from ..rules import Learned
+from ..rules import DECAY, Learned
 from . import weigh
 from .kept import ClassKept
 from .recall import unteach
 
+LEAST = 8.0  # answers from which a scatter is told
 TRIAL = 32  # answers; what has stood so many has mostly been replaced by them
 
 
+@dataclass(slots=True)
+class Scatter:
+    """How far the logarithms of one class's answers lie apart; the old ones fade as in `rules.Learned`."""
+
+    mean: float = 0.0
+    square: float = 0.0
+    answers: float = 0.0
+
+    def add(self, value: float) -> None:
+        self.answers = self.answers * DECAY + 1.0
+        step = 1.0 / self.answers
+        apart = value - self.mean
+        self.mean += step * apart
+        self.square += step * (apart * (value - self.mean) - self.square)
+
+    @property
+    def deviation(self) -> float:
+        """0: too few answers to tell."""
+        return math.sqrt(max(1e-4, self.square)) if self.answers >= LEAST else 0.0
+
+
 @dataclass(slots=True)
 class _Trial:
     kept: ClassKept
@@ -69,7 +91,7 @@
         seen, expected = (work, trial.kept.work) if work > 0.0 else (elapsed, trial.kept.latency)
         trial.total += math.log(max(1e-6, seen) / max(1e-9, expected * cost))
         trial.answers += 1
-        if weigh.wrong(trial.total, trial.answers, weigh.SCATTER):
+        if weigh.wrong(trial.total, trial.answers, trial.kept.scatter):
             del self._trials[index]
             answers = known.count - known.recalled_count
             unteach(known, cost, trial.sums, answers)
--- a/saffronlane/knowledge/weigh.py
+++ b/saffronlane/knowledge/weigh.py
@@ -114,7 +114,12 @@
 
 
 def wrong(total: float, answers: int, scatter: float) -> bool:
-    """Whether answers lie so far from what was recalled that chance does not explain it."""
+    """Whether answers lie so far from what was recalled that chance does not explain it.
+
+    `total` is the sum of their log ratios to the recalled mean. Where logarithms scatter by s, their mean
+    lies s * s / 2 under the logarithm of the mean (of a lognormal distribution, which times mostly resemble).
+    """
     if answers < WRONG_AFTER:
         return False
-    return abs(total) / answers > WRONG + scatter / math.sqrt(answers)
+    spread = scatter if scatter > 0.0 else SCATTER
+    return abs(total / answers + spread * spread / 2.0) > WRONG + spread / math.sqrt(answers)
--- a/saffronlane/storage/files.py
+++ b/saffronlane/storage/files.py
@@ -75,6 +75,13 @@
     def _open(self) -> int:
         return os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
 
+    def moved(self) -> bool:
+        """Whether the path does not name this folder any more: what is written now, nobody would find."""
+        try:
+            return not os.path.samestat(os.stat(self.folder), os.fstat(self._fd))
+        except FileNotFoundError:
+            return True
+
     def reopen(self) -> bool:
         """Hold the folder that has the path now; whether that is another one. Makes one if there is none."""
         self.folder.mkdir(parents=True, exist_ok=True)
--- a/saffronlane/storage/writer.py
+++ b/saffronlane/storage/writer.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -52,7 +51,8 @@
         store: loaded, not yet begun; belongs to this object from now on.
         tell: hears in words of failures and repairs; called on the writer's thread.
         before_repair: called there before each try to go on with fresh files; may raise OSError.
-        each_turn: called there after each commit, and at least every `idle` seconds; may raise OSError.
+        each_turn: called there after each commit, and at least every `idle` seconds; OSError: the store is
+            not fit for use, and to be repaired.
     """
 
     def __init__(
@@ -130,9 +130,13 @@
                     changes = [Change(key, entry) for key, entry in self._waiting.items()]
                     self._waiting, self._askers = {}, []
             self._turn(changes, askers)
-            if self._each_turn is not None:
-                with contextlib.suppress(OSError):
+            try:
+                if self._each_turn is not None:
                     self._each_turn()
+            except OSError as error:
+                if not self._store.failed:
+                    self._store.close()
+                    self._fell(error)
             if stopping:
                 break
         try:
--- /dev/null
+++ b/tests/test_folder.py
@@ -0,0 +1,255 @@
+"""A daemon and its folder: whatever is wrong with the disk, every query is answered, and the log says so."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import shutil
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from gateways import House
+from test_flight import connect
+
+from saffronlane.cli import main
+from saffronlane.config import parse_config
+from saffronlane.daemon import Daemon
+from saffronlane.knowledge import kept as k
+from saffronlane.storage import RealFiles, Recovery, recover
+from saffronlane.storage import files as files_module
+
+KEPT = {"knowledge": {"folder": "kept"}}
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    return tmp_path / "kept"
+
+
+@pytest.fixture
+def house(tmp_path: Path) -> Iterator[House]:
+    house = House(tmp_path, 2, KEPT, 0.0)
+    yield house
+    house.close()
+
+
+def read(folder: Path) -> Recovery:
+    return recover(RealFiles(folder, make=False))
+
+
+def ask(house: House, count: int = 1) -> None:
+    with connect(house) as connection, connection.cursor() as cursor:
+        for _ in range(count):
+            cursor.execute("SELECT 1 /* lab work=0.01 */")
+            assert cursor.fetchall()
+
+
+def change(house: House, key: str) -> None:
+    headers = {"saffronlane-class": "change", "saffronlane-key": key}
+    with connect(house, **headers) as connection, connection.cursor() as cursor:
+        cursor.adbc_statement.set_sql_query("INSERT INTO plays VALUES (1) /* lab work=0.01 */")
+        assert cursor.adbc_statement.execute_update() == 1
+
+
+def begin(house: House) -> Daemon:
+    def start() -> Daemon:
+        daemon = Daemon(parse_config(house.raw, "test", house.folder))
+        daemon.start()
+        return daemon
+
+    return house.call(start)
+
+
+def end(house: House) -> None:
+    house.call(house.daemon.stop)
+    house.wait(house.daemon.run())
+
+
+def working(house: House, yes: bool = True) -> None:
+    house.until(lambda: house.daemon.folder is not None and house.daemon.folder.status.working is yes)
+
+
+def test_a_daemon_that_comes_back_knows_what_it_knew(house: House, folder: Path) -> None:
+    ask(house, 30)
+    end(house)
+    kept = k.decode(k.CLASS + b"lookup", read(folder).state[k.CLASS + b"lookup"])
+    assert isinstance(kept, k.ClassKept) and kept.count == 30
+    house.daemon = begin(house)
+    summary = house.daemon.dispatcher.keeper.summary
+    assert summary.exact and summary.classes["lookup"] > 10.0 and summary.engines == 2
+    ask(house)
+
+
+def test_a_full_or_broken_disk_harms_no_query_and_is_left_when_it_is_well(
+    house: House, folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    working(house)
+    for code in (errno.ENOSPC, errno.EIO):
+
+        def fails(self: object, data: bytes, code: int = code) -> None:
+            raise OSError(code, os.strerror(code))
+
+        with monkeypatch.context() as broken:
+            broken.setattr(files_module._RealHandle, "write", fails)
+            change(house, f"key {code}")
+            working(house, False)
+            ask(house, 3)
+            assert house.daemon.folder is not None and os.strerror(code) in house.daemon.folder.status.why
+        working(house)
+    change(house, "after")
+    end(house)
+    # What nobody could write at the time was written once it could be.
+    assert sum(key.startswith(k.SENT) for key in dict(read(folder).state.items())) == 3
+    house.daemon = begin(house)
+
+
+def test_a_path_that_is_no_folder_is_told_and_harms_nothing(tmp_path: Path) -> None:
+    (tmp_path / "kept").write_text("a file")
+    house = House(tmp_path, 2, KEPT, 0.0)
+    try:
+        change(house, "x")
+        ask(house, 3)
+        assert not house.daemon.folder.status.working  # type: ignore[union-attr]
+    finally:
+        house.close()
+    assert (tmp_path / "kept").read_text() == "a file"
+
+
+def test_a_folder_that_vanishes_is_made_again_with_all_that_is_known(house: House, folder: Path) -> None:
+    """Guards against going on with files that have no name any more: nothing would tell."""
+    ask(house, 20)
+    change(house, "before")
+    working(house)
+    shutil.rmtree(folder)
+    change(house, "after")
+    house.until(lambda: folder.exists() and read(folder).found)
+    working(house)
+    names = {k.kind_of(key) for key in dict(read(folder).state.items())}
+    assert {k.CLASS, k.ENGINE, k.SENT, k.RUN} <= names
+    ask(house, 3)
+
+
+def test_a_disk_that_hangs_holds_an_unsafe_query_up_for_a_moment_and_others_not_at_all(
+    house: House, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    working(house)
+    gate = threading.Event()
+    with monkeypatch.context() as hangs:
+        hangs.setattr(files_module._RealHandle, "sync", lambda self: gate.wait(30.0))
+        change(house, "hangs")
+        ask(house, 3)
+        assert house.daemon.executor.unsaved == 1
+        gate.set()
+    working(house)
+
+
+def test_a_second_daemon_on_a_folder_goes_without_until_the_first_has_ended(
+    house: House, folder: Path
+) -> None:
+    ask(house, 20)
+    change(house, "mine")
+    working(house)
+    second, first = begin(house), house.daemon
+    assert second.folder is not None and not second.folder.status.working
+    assert "in use by process" in second.folder._why
+    end(house)
+    house.daemon = second
+    working(house)
+    assert first.folder is not None and first.folder._lock is None
+    ledger = second.dispatcher.keeper.ledger
+    house.until(lambda: len(ledger) == 1)  # the first one's unsafe query is known to the second
+    ask(house, 3)
+
+
+def test_each_worker_has_a_folder_of_its_own() -> None:
+    from saffronlane.workers import as_worker
+
+    raw = {
+        "listen": {"port": 0},
+        "engines": {"file": "e"},
+        "kinds": [{"name": "k", "cores": 1}],
+        "classes": [{"name": "c", "aim_s": 1, "deadline_s": 2}],
+        "gateway": {"count": 2, "workers": 2},
+        "knowledge": {"folder": "kept"},
+    }
+    config = parse_config(raw, "test", Path("/somewhere"))
+    folders = [as_worker(config, n, 1).knowledge for n in range(2)]
+    assert folders == [Path("/somewhere/kept/worker-0"), Path("/somewhere/kept/worker-1")]
+
+
+# --- the command line ---
+
+
+def run(*words: object) -> tuple[int, str]:
+    result = CliRunner().invoke(main, ["knowledge", *map(str, words)])
+    return result.exit_code, result.output
+
+
+def test_show_check_and_export_on_a_folder_in_use_and_after(house: House, folder: Path) -> None:
+    ask(house, 20)
+    change(house, "mine")
+    house.until(lambda: k.CLASS + b"lookup" in dict(read(folder).state.items()))
+    for used in (str(os.getpid()), ""):
+        code, out = run("show", folder, "--json")
+        told = json.loads(out)
+        assert code == 0 and told["used_by"] == used
+        assert told["last_sign"]["clean"] is (used == "") and told["requests"] == 1 and told["engines"] == 2
+        assert "c/lookup: " in run("show", folder)[1]
+        lines = [json.loads(line) for line in run("export", folder)[1].splitlines()]
+        assert {"c/lookup", "e/e0", "run"} <= {line["key"] for line in lines}
+        code, out = run("check", folder)
+        assert (code, out.splitlines()[-1]) == (0, "whole")
+        if used:
+            end(house)
+    house.daemon = begin(house)
+
+
+def test_check_names_what_is_damaged_and_what_it_would_count_for(house: House, folder: Path) -> None:
+    ask(house, 20)
+    end(house)
+    (house.folder / "gateway.json").write_text(json.dumps(house.raw))
+    code, out = run("check", folder, "--config", house.folder / "gateway.json")
+    assert code == 0 and "exact True, weight 1" in out
+    log = max(p for p in folder.iterdir() if p.name.startswith("log"))
+    log.write_bytes(log.read_bytes() + b"\0" * 30)
+    newer = folder / "snap-v7-00000000000000ff"
+    newer.write_bytes(b"later")
+    code, out = run("check", folder)
+    assert code == 1 and log.name in out and "byte 24" in out and f"{newer.name}: of a newer version" in out
+    house.daemon = begin(house)
+    ask(house)
+    assert newer.read_bytes() == b"later"
+
+
+def test_forget_in_a_folder_that_is_free(house: House, folder: Path) -> None:
+    ask(house, 20)
+    change(house, "mine")
+    end(house)
+    assert run("forget", folder, "classes")[0] == 0
+    state = dict(read(folder).state.items())
+    assert not [key for key in state if key.startswith(k.CLASS)] and [
+        key for key in state if key.startswith(k.SENT)
+    ]
+    assert run("forget", folder, "all")[0] == 0
+    assert not len(read(folder).state)
+    house.daemon = begin(house)
+
+
+def test_forget_asks_a_running_gateway_and_never_for_its_ledgers(house: House, folder: Path) -> None:
+    ask(house, 20)
+    house.until(lambda: k.CLASS + b"lookup" in dict(read(folder).state.items()))
+    code, out = run("forget", folder, "all")
+    assert code == 2 and "stop it first" in out
+    code, out = run("forget", folder, "classes", "engines")
+    assert (code, out.strip()) == (0, "the running gateway forgets them")
+    house.until(lambda: house.daemon.dispatcher.gateway.learned[0].count == 0)
+    house.until(lambda: k.CLASS + b"lookup" not in dict(read(folder).state.items()))
+
+
+def test_no_folder_and_no_choice_are_told() -> None:
+    assert run("show", "/nowhere/at/all")[0] == 2
+    assert run("forget", "/tmp")[0] == 2
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -23,7 +23,7 @@
 from saffronlane.knowledge import kept as k
 from saffronlane.knowledge.rebase import Rebase
 from saffronlane.rules import SEED_ANSWERS
-from saffronlane.storage import Entry
+from saffronlane.storage import Entry, RealFiles, recover
 
 HERE = Moment(1000.0, 1e9, "boot", "place")
 KEYED = replace(one_class(effect=Effect.KEYED, key_ttl=10.0, group=api.Group.ZONE)[0], name="keyed")
@@ -735,6 +735,49 @@
     assert after.core.gateway.learned[0].count == 0
 
 
+def test_a_folder_that_comes_free_later_is_taken_in_while_the_gateway_runs(tmp_path: Path):
+    """Guards a restart in which the old process still drains while the new one starts."""
+    rules = api.Guarantees(order_settle=1.0, budget_free=1.0, budget_window=9.0)
+    old = Life(make_settings(classes=(UNSAFE, ORDERED), guarantees=rules), {})
+    old.engines(4)
+    for _ in range(30):
+        old.done(old.submit(cls=1), elapsed=0.05)
+    old.submit(cls=0, identity=b"mine")
+    old.submit(cls=1, key=3)
+    old.pass_time(1.0)
+    new = Life(old.settings, {}, replace(HERE, mono=old.now))
+    core = d.Dispatcher(old.settings, 1)
+    new.core, new.effects = core, []
+    new.engines(4)
+    new.submit(cls=0)
+    old.sign()
+    new.folder = dict(old.folder)
+    new.step(d.Attach(Memory(tuple(old.folder.items()), replace(HERE, mono=old.now + 0.5))), after=0.5)
+    again, waits = new.submit(cls=0, identity=b"mine"), new.submit(cls=1, key=3)
+    new.pass_time(0.5)
+    assert not new.sends(again) and not new.sends(waits)
+    assert core.gateway.learned[1].exec_time() == pytest.approx(0.05, rel=0.05)
+    assert {k.SENT + b"mine", k.CLASS + b"ordered"} <= set(new.folder)  # kept on, by the new one
+
+
+def test_a_folder_of_every_older_version_is_read(tmp_path: Path):
+    """Fixtures made by the code of their time; one is added when a version changes, none is made anew."""
+    for path in sorted(Path(__file__).parent.glob("fixtures/knowledge-v*")):
+        found = recover(RealFiles(path, make=False))
+        assert not found.dropped and len(found.state) == 8, path
+        settings = make_settings(
+            guarantees=replace(COLD, order_settle=2.0, budget_free=2.0, budget_window=9.0)
+        )
+        life = Life(settings, dict(found.state.items()), Moment(5000.5, 1.7e9 + 0.5, "boot", "place"))
+        life.list(api.EngineEntry(engine_id(0), EngineState.READY))
+        summary = life.core.keeper.summary
+        assert summary.notes == [] and summary.exact and summary.classes == {"short": weigh.MASS_MOST}
+        assert (summary.engines, summary.requests, summary.orders) == (1, 1, 1)
+        assert life.core.gateway.engines[engine_id(0)].ill and len(life.core.gateway.extras) == 1
+        changed = life.folder[k.CLASS + b"short"]
+        assert changed.version == k.VERSIONS[k.CLASS]  # written anew as of this version
+
+
 def test_a_folder_of_another_gateway_counts_less_and_is_not_exact():
     life = taught()
     settings = replace(life.settings, gateways=2, position=1)
