rules: a jam never becomes the norm, and cold engines neither press nor queue

Three causes. The best latency drifted by answers, so that at 80 a second a jam was the norm in ten seconds. Answers of cold engines, slow by nature, counted as pressure and shut the limit for all. A cold engine went first even with its part of the load out, up to what it bears without falling over, while warm ones idled.

Change: the drift is bounded by time too; a cold engine's answers count by its warm cores; it goes first only within its part. One test each, failing before.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -33,6 +33,7 @@
 SEED_ANSWERS = 4.0  # the seed counts as this many answers: one odd first query must not set the estimate
 DECAY = 0.97  # per answer, of what is learned: a handful of seconds of one class's traffic
 BEST_DRIFT = 0.002  # how fast the best latency forgets: far slower than a jam, or a jam becomes the norm
+BEST_RATE = 0.01  # the same for a second, where so many answers come that a jam would soon be the norm
 EXEC_CAP = 3.0  # ExecTime is at most this x the uncrowded time: a bad spell must not refuse what follows
 NEED_SEED, NEED_UP, NEED_DOWN = 1.25, 0.15, 0.02  # memory needed over told: a high quantile, a spill is dear
 # --- pressure ---
@@ -86,7 +87,7 @@
         self.calm = self.works  # the same without what a reported crowd added; work that is told has none
         self.seed = (0.0, self.latencies, self.works, self.calm)  # the part of the sums that no answer gave
         self.best = 1.0  # uncrowded latency x threads / work, a low quantile
-        self.pace = 0.0
+        self.pace, self.at = 0.0, -math.inf  # and the last answer
         self.need = 0.0  # memory needed over memory told, a high quantile
 
     def estimate(self, cost: float, told: bool) -> None:
@@ -97,9 +98,12 @@
         self.told += (cost - self.told) * (1.0 - DECAY)
         self.set_pace()
 
-    def answered(self, job: Job, elapsed: float, work: float, memory: float, threads: float) -> float:
+    def answered(
+        self, now: float, job: Job, elapsed: float, work: float, memory: float, threads: float
+    ) -> float:
         """Learn from one answer of an engine with so many threads a core; returns how crowded it was."""
         self.count += 1
+        drift, self.at = min(BEST_DRIFT, BEST_RATE * (now - self.at)), now
         calm = self.calm_time(job.cost)
         self.estimates = self.estimates * DECAY + job.cost
         self.latencies = self.latencies * DECAY + elapsed
@@ -112,7 +116,7 @@
         crowd = elapsed / calm if self.count > SEED_ANSWERS and not threads else 1.0
         if work > 0.0:
             stretch = sane(elapsed * self.cls.threads / work, 0.05, 1000.0)
-            step = 0.1 if stretch < self.best else BEST_DRIFT
+            step = 0.1 if stretch < self.best else drift
             self.best += step * (min(stretch, self.best * 2.0) - self.best)
             crowd = stretch / self.best
         self.set_pace()
@@ -358,10 +362,12 @@
         """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
         if not self.cores or not self.under_limit(job):
             return None
+        threads, lately = self.threads + self.told.threads, self.recent.read(self.now, HORIZON)
         for engine in self.ready if self.now < self.cold_until else ():  # turns are short
-            if self.coldness(engine) and next(self.usable(job, True, [engine]), None):
+            room = SPILL * self.warm_cores(engine) / self.cores * threads + job.cls.threads
+            cold = self.coldness(engine) and engine.threads <= room  # what it may be sent would still jam it
+            if cold and next(self.usable(job, True, [engine]), None):
                 return engine
-        threads, lately = self.threads + self.told.threads, self.recent.read(self.now, HORIZON)
         query = self.work(job) / HORIZON
         for strict in (True, False):
             last = least = None
@@ -623,8 +629,9 @@
         if outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
             known = self.learned[job.index]
-            crowd = known.answered(job, elapsed, sane(event.work), sane(event.memory_mb), threads)
-            self.feel(crowd if not threads or event.work > 0.0 else threads * PRESSED / PRESSED_THREADS)
+            crowd = known.answered(self.now, job, elapsed, sane(event.work), sane(event.memory_mb), threads)
+            crowd = crowd if not threads or event.work > 0.0 else threads * PRESSED / PRESSED_THREADS
+            self.feel(crowd * self.warm_cores(engine) / engine.cores)  # a cold engine is slow, not crowded
         elif not self.settings.work_told and outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
             self.learned[job.index].cut_short(job, sane(event.elapsed))
         if outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -203,3 +204,40 @@
     assert driver.gateway.coldness(engine) > 0.0
     driver.end(kept, Outcome.OK, work=0.1)
     assert driver.gateway.coldness(engine) == 0.0
+
+
+def test_a_jam_does_not_become_the_norm_where_many_answers_come():
+    """Guards the best latency's drift: for each answer, a fleet's worth of traffic forgot it in seconds."""
+    driver = Driver(make_settings(work_told=True), engines=2)
+    for _ in range(50):
+        driver.end(driver.ask(), api.Outcome.OK, elapsed=0.05, work=0.05)
+    for _ in range(1000):  # ten seconds of a jam, a hundred answers a second
+        driver.now += 0.01
+        driver.end(driver.ask(), api.Outcome.OK, elapsed=0.5, work=0.05)
+    assert driver.gateway.learned[0].best < 1.5 and driver.gateway.crowd > rules.PRESSED
+
+
+def test_a_cold_engine_is_slow_and_that_is_no_pressure():
+    """Guards a rolling deploy: the one limit over all engines fell because the newest one was still cold."""
+    kept = api.Guarantees(cold_share=0.25, cold_time=10.0, fall_multiple=3.0, fall_window=1.0)
+    driver = Driver(make_settings(work_told=True, guarantees=kept), engines=0)
+    driver.list([api.EngineEntry(engine_id(0), api.EngineState.READY, started=driver.now)])
+    driver.gateway.born = -math.inf
+    for _ in range(60):
+        request = driver.ask()
+        if driver.sends(request):
+            driver.end(request, api.Outcome.OK, elapsed=0.2, work=0.05)  # a quarter of its speed
+    assert driver.sends() and driver.gateway.crowd < rules.PRESSED / 2.0
+
+
+def test_a_cold_engine_goes_first_only_while_it_is_not_loaded_beyond_its_part():
+    """Guards queries that waited on a cold engine while warm ones were idle."""
+    kept = api.Guarantees(cold_share=0.25, cold_time=100.0, fall_multiple=30.0, fall_window=10.0)
+    driver = Driver(make_settings(guarantees=kept), engines=0)
+    cold = api.EngineEntry(engine_id(0), api.EngineState.READY, started=driver.now - 50.0)
+    driver.list([cold, *(api.EngineEntry(engine_id(n), api.EngineState.READY) for n in range(1, 4))])
+    driver.gateway.born = -math.inf
+    for _ in range(24):
+        driver.ask()
+    out = [len(e.out) for e in driver.gateway.engines.values()]
+    assert sum(out) == 24 and 0 < out[0] <= 8
