--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -41,6 +41,7 @@
     cls: int = 0
     cost: float = 0.0
     identity: bytes = b""
+    repeated: bool = False  # an earlier request with its key may have run
     terms: tuple[float, int] | None = None  # of the next attempt
     committed: int | None = None
     ended: bool = False
@@ -240,7 +241,8 @@
 
     def _take_over(self, now: float, memory: Memory | None) -> None:
         self.gateway = Gateway(self.settings, self.seed + self.faults)
-        self.keeper = Keeper(self.settings, memory, self.keeper.keeping)
+        before, self.keeper = self.keeper, Keeper(self.settings, memory, self.keeper.keeping)
+        self.keeper.succeed(before)
         self.keeper.begin(self.gateway)
         entries = tuple(self._engines.values())
         self._listed = bool(entries)
@@ -266,6 +268,8 @@
         if self._owed > self.most_owed:
             wait = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0.0
             return self._turn_away(request, wait, f"{self.most_owed} requests wait already")
+        earlier = self.keeper.ledger.earlier(event.identity, self._now) if event.identity else None
+        request.repeated = earlier is not None
         return [
             api.Arrival(
                 event.request,
@@ -278,7 +282,7 @@
                 event.tables,
                 event.repeat,
                 event.write,
-                self.keeper.ledger.earlier(event.identity, self._now) if event.identity else None,
+                earlier,
             )
         ]
 
@@ -432,7 +436,11 @@
         self._answer(action.request, fx.RefuseRequest(action.request, action.retry_after, why))
 
     def _fail(self, action: api.Fail) -> None:
-        self._answer(action.request, fx.FailRequest(action.request, "no answer in time, and it may have run"))
+        why = "no answer in time, and it may have run"
+        request = self._requests.get(action.request)
+        if request is not None and request.repeated and not request.attempts:
+            why = "a request with this key may have run before, and may not be repeated now"
+        self._answer(action.request, fx.FailRequest(action.request, why))
 
     def _answer(self, number: int, answer: fx.Effect) -> None:
         if number in self._requests:
--- a/saffronlane/knowledge/keeper.py
+++ b/saffronlane/knowledge/keeper.py
@@ -44,6 +44,8 @@
         if memory is not None and keeping:
             self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
         self._scatters = [Scatter() for _ in settings.classes]
+        # Keys that fade when nothing speaks for them; requests are told by the ledger, and may be many.
+        self._fading = {key for key in self._written if k.kind_of(key) in (k.ORDER, k.ENGINE)}
         self._newer = self._recall.newer if self._recall is not None else frozenset()
         self._counts: dict[str, int] = {}  # by class, at its last writing
         self._next = -math.inf
@@ -136,6 +138,9 @@
     def first(self, gateway: Gateway) -> list[Change]:
         """What goes with this run's first sign of life: all that was recalled, on this run's clock."""
         values: dict[bytes, k.Kept | None] = dict(self._recall.rebased) if self._recall is not None else {}
+        for key in self._written:
+            if k.kind_of(key) == k.SENT:
+                values[key] = self.ledger.get(key[2:])
         return self._differing(values | {k.FLEET: export.fleet(gateway)})
 
     def attach(self, gateway: Gateway, memory: Memory) -> list[Change]:
@@ -143,6 +148,7 @@
         self._recall = recall = Recall(self.settings, memory)
         self.keeping, self._newer, self.summary = True, recall.newer, recall.summary
         self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+        self._fading = {key for key in self._written if k.kind_of(key) in (k.ORDER, k.ENGINE)}
         recall.attach(gateway, self.ledger)
         for index, mass in recall.masses.items():
             kept = recall.class_named(gateway.learned[index].cls.name)
@@ -174,6 +180,10 @@
         assert made is not None
         return Memory((*self.entries(gateway), (k.RUN, made)), Moment(now, 0.0, "here", "here"))
 
+    def succeed(self, before: Keeper) -> None:
+        """Go on in the place of another one: what it gave out to be written is what the disk holds."""
+        self._written, self._fading = before._written, before._fading
+
     def _all(self, gateway: Gateway, every: bool = False) -> dict[bytes, k.Kept | None]:
         masses = self._recall.masses if self._recall is not None else {}
         found: dict[bytes, k.Kept | None] = dict.fromkeys(self._dropped)
@@ -195,8 +205,8 @@
         for identity in self.ledger.changed:
             found[k.SENT + identity] = self.ledger.get(identity)
         self.ledger.changed.clear()
-        gone = (key for key in self._written if key not in found and self._fades(gateway, key))
-        return found | dict.fromkeys(gone)
+        gone = (key for key in self._fading if key not in found)
+        return found | {key: None for key in gone if self._listed or k.kind_of(key) == k.ORDER}
 
     def _deviations(self) -> list[float]:
         """Each class's scatter; what was recalled of it stands until enough is known."""
@@ -206,13 +216,6 @@
             found.append(scatter.deviation or (old.scatter if old is not None else 0.0))
         return found
 
-    def _fades(self, gateway: Gateway, key: bytes) -> bool:
-        """Whether an entry that nothing speaks for any more is to be removed."""
-        kind = k.kind_of(key)
-        if kind == k.SENT:
-            return self.ledger.get(key[2:]) is None
-        return kind == k.ORDER or (kind == k.ENGINE and self._listed)
-
     def _value(self, gateway: Gateway, key: bytes) -> k.Kept | None:
         kind = k.kind_of(key)
         if kind == k.SENT:
@@ -237,7 +240,10 @@
                 continue  # not ours to remove: a later version may come back to it
             if made.entry is None:
                 self._written.pop(key, None)
+                self._fading.discard(key)
             else:
                 self._written[key] = made.entry
+                if k.kind_of(key) in (k.ORDER, k.ENGINE):
+                    self._fading.add(key)
             found.append(made)
         return found
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -193,7 +193,23 @@
     life.submit(identity=b"mine")
     again = life.submit(identity=b"mine")
     life.pass_time(0.2)
-    assert not life.sends(again) and [type(a) for a in life.answers(again)] == [d.FailRequest]
+    (answer,) = life.answers(again)
+    assert not life.sends(again) and isinstance(answer, d.FailRequest) and "this key" in answer.why
+
+
+def test_requests_that_are_forgotten_leave_the_folder_too():
+    life = Life(make_settings(classes=(UNSAFE,)), {})
+    life.engines()
+    for n in range(5):
+        life.done(life.submit(identity=b"%d" % n))
+    life.pass_time(1.0)
+    assert sum(key.startswith(k.SENT) for key in life.folder) == 5
+    late = Life(life.settings, dict(life.folder), replace(HERE, mono=life.now + 100.0))
+    assert not [key for key in late.folder if key.startswith(k.SENT)]
+    life.pass_time(100.0)
+    life.submit()
+    life.pass_time(1.0)
+    assert not [key for key in life.folder if key.startswith(k.SENT)]
 
 
 def test_requests_are_forgotten_in_time_and_in_number(monkeypatch):
@@ -709,6 +725,11 @@
     assert not life.sends(waits) and not life.sends(again)
     life.pass_time(0.4)
     assert life.sends(waits)
+    life.done(waits, elapsed=0.05)
+    life.pass_time(1.0)
+    assert not [
+        key for key in life.folder if key.startswith(k.ORDER)
+    ]  # nor does the folder keep what is over
 
 
 def test_a_recorded_run_with_a_memory_is_played_again_alike(tmp_path: Path):
