groups: a tree of shares and limits with hierarchical start-time fair queueing

Need: shares of engine work by team, with limits, that neither hoard credit nor let one group block its siblings.

Groundwork of Resource Groups; not wired into the dispatcher yet.

--- /dev/null
+++ b/saffronlane/groups/tree.py
@@ -0,0 +1,225 @@
+"""Which waiting query is next: hierarchical fair sharing of engine work, under limits.
+
+At each level, the group goes on that has had the least work for its weight. This is start-time fair queueing
+(Goyal, Vin and Cheng, 1996) over a tree: each group has a start tag; the one with the least is served and its
+tag grows by work / weight; one that comes back from idleness starts at its parent's virtual time, so that it
+has no credit from before, while an overdraft stays. Of two siblings that wait all the time, work over weight
+differs by at most the largest query of each over its weight.
+
+Queries of one group leave by deadline, so that the design's group EDF finds them in its own order.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .spec import GroupSpec
+
+Path = tuple[str, ...]
+
+
+@dataclass(slots=True, eq=False)
+class Item:
+    """A query as groups see it. `work` is in thread seconds, estimated; what it was is told at its end."""
+
+    id: int
+    deadline: float
+    work: float
+    threads: float = 1.0
+    memory_mb: float = 0.0
+    node: Node | None = field(default=None, repr=False)
+    running: bool = False
+    gone: bool = False
+
+
+class Full(Exception):
+    """A group takes no more queries; its path is in the text."""
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """One group's state: what it has out, what waits below it, and its start tag."""
+
+    spec: GroupSpec
+    parent: Node | None
+    order: int
+    children: dict[str, Node] = field(default_factory=dict)
+    start: float = 0.0  # tag, in seconds of work a unit of weight
+    clock: float = 0.0  # virtual time of its children
+    waiting: int = 0
+    threads: float = 0.0
+    memory: float = 0.0
+    running: int = 0
+    work: float = 0.0  # of all that it was charged with
+    queue: list[tuple[float, int, Item]] = field(default_factory=list)  # heap, of a leaf
+    ready: list[tuple[int, int, float, int, int, Node]] = field(default_factory=list)  # heap of children
+    version: int = 0  # of its entry in the parent's heap
+    parked: bool = True  # not in the parent's heap: nothing waits, or a limit binds
+
+    @property
+    def path(self) -> Path:
+        return (*self.parent.path, self.spec.name) if self.parent is not None else ()
+
+    def line(self) -> Iterator[Node]:
+        """This group and those above it, the root last."""
+        node: Node | None = self
+        while node is not None:
+            yield node
+            node = node.parent
+
+
+class Tree:
+    """All groups of one gateway. `capacity` is the threads that it may have out, over all engines."""
+
+    def __init__(self, spec: GroupSpec, capacity: float) -> None:
+        self.capacity = capacity
+        self._orders = itertools.count()
+        self._entries = itertools.count()
+        self.root = self._make(spec, None)
+
+    def _make(self, spec: GroupSpec, parent: Node | None) -> Node:
+        node = Node(spec, parent, next(self._orders))
+        node.children = {child.name: self._make(child, node) for child in spec.children}
+        return node
+
+    def find(self, path: Path) -> Node:
+        """KeyError where there is no such group."""
+        node = self.root
+        for name in path:
+            node = node.children[name]
+        return node
+
+    # --- queries come and go ---
+
+    def join(self, item: Item, path: Path) -> None:
+        """Let a query wait in a group. Full where that or one above it takes no more."""
+        leaf = self.find(path)
+        if leaf.children:
+            raise ValueError(
+                f"group {'/'.join(path)} has groups below it: queries wait only in the last ones"
+            )
+        for node in leaf.line():
+            if node.waiting + 1 > node.spec.queued:
+                raise Full(f"{int(node.spec.queued)} queries wait in group {'/'.join(node.path) or '/'}")
+        item.node = leaf
+        heapq.heappush(leaf.queue, (item.deadline, item.id, item))
+        for node in leaf.line():
+            node.waiting += 1
+        self._wake(leaf)
+
+    def leave(self, item: Item) -> None:
+        """A query that waits is given up."""
+        if item.node is None or item.running or item.gone:
+            return
+        item.gone = True
+        for node in item.node.line():
+            node.waiting -= 1
+        self._tidy(item.node)
+        self._wake(item.node)  # the one behind it may fit where it did not
+
+    def next(self) -> Item | None:
+        """The query whose turn it is, charged to its groups; None: nothing waits that limits let run."""
+        leaf = self._peek(self.root)
+        if leaf is None:
+            return None
+        _, _, item = heapq.heappop(leaf.queue)
+        item.running = True
+        for node in leaf.line():
+            node.waiting -= 1
+            node.running += 1
+            node.threads += item.threads
+            node.memory += item.memory_mb
+            if node.parent is not None:
+                node.parent.clock = max(node.parent.clock, node.start)
+            self._charge(node, item.work)
+        self._tidy(leaf)
+        self._wake(leaf)
+        return item
+
+    def ended(self, item: Item, work: float | None = None) -> None:
+        """A query that ran is over. `work` is what it took; None: it never ran, and costs nothing."""
+        if item.node is None or not item.running:
+            return
+        item.running, item.gone = False, True
+        correction = (work if work is not None else 0.0) - item.work
+        for node in item.node.line():
+            node.running -= 1
+            # Sums of many floats never come back to nothing by themselves, and limits look at them.
+            node.threads = node.threads - item.threads if node.running else 0.0
+            node.memory = node.memory - item.memory_mb if node.running else 0.0
+            self._charge(node, correction)
+        self._wake(item.node)
+
+    def resize(self, capacity: float) -> None:
+        """The fleet has grown or shrunk: shares of it are others now, for what runs too."""
+        self.capacity = capacity
+        for node in self._all(self.root):
+            self._push(node)
+
+    # --- inside ---
+
+    def _all(self, node: Node) -> Iterator[Node]:
+        yield node
+        for child in node.children.values():
+            yield from self._all(child)
+
+    @staticmethod
+    def _charge(node: Node, work: float) -> None:
+        node.work += work
+        node.start += work / node.spec.weight
+
+    def _fits(self, node: Node, item: Item) -> bool:
+        """Whether limits let it run. One alone always may: else what is larger than a limit never could."""
+        if not node.running:
+            return True
+        spec = node.spec
+        most = min(spec.threads, spec.largest * self.capacity)
+        return node.threads + item.threads <= most and node.memory + item.memory_mb <= spec.memory_mb
+
+    def _peek(self, node: Node) -> Node | None:
+        """The group whose first query is next below a node; children that a limit binds are parked."""
+        if not node.children:
+            if not node.queue or not self._fits(node, node.queue[0][2]):
+                return None
+            return node
+        while node.ready:
+            *_, version, child = node.ready[0]
+            leaf = self._peek(child) if version == child.version and child.waiting else None
+            if leaf is not None:
+                return leaf if self._fits(node, leaf.queue[0][2]) else None
+            heapq.heappop(node.ready)
+            child.parked = child.parked or version == child.version
+        return None
+
+    def _wake(self, leaf: Node) -> None:
+        """Something changed on this line: what was parked there is looked at again, with its new place."""
+        for node in leaf.line():
+            self._push(node)
+
+    def _push(self, node: Node) -> None:
+        if node.parent is None or not node.waiting:
+            node.version += 1
+            node.parked = True
+            return
+        node.version += 1
+        if node.parked:  # a limit held it, or nothing waited: no credit for what it could not have used
+            node.start = max(node.start, node.parent.clock)
+            node.parked = False
+        short = node.threads < node.spec.guaranteed * self.capacity
+        entry = (-node.spec.priority, not short, node.start, node.order, node.version, node)
+        heapq.heappush(node.parent.ready, entry)
+        if len(node.parent.ready) > 4 * len(node.parent.children) + 16:  # entries of old versions
+            valid = [e for e in node.parent.ready if e[4] == e[5].version]
+            heapq.heapify(valid)
+            node.parent.ready = valid
+
+    @staticmethod
+    def _tidy(leaf: Node) -> None:
+        while leaf.queue and leaf.queue[0][2].gone:
+            heapq.heappop(leaf.queue)
+        if len(leaf.queue) > 2 * leaf.waiting + 16:  # given up further behind
+            leaf.queue = [entry for entry in leaf.queue if not entry[2].gone]
+            heapq.heapify(leaf.queue)
