--- a/saffronlane/groups/spec.py
+++ b/saffronlane/groups/spec.py
@@ -4,12 +4,13 @@
 
 import math
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..config.check import Problem
 
 MOST_DEPTH = 16
 MOST_WEIGHT = 1e6
+OTHER = "(other)"  # where queries go that no group of their own is for
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +28,8 @@
         queue_time: seconds that a query may wait in it at most.
         priority: among siblings; a higher one goes first whatever the shares.
         children: queries wait only in groups without children.
+        each: the shape of groups made on demand below this one; its name is not used. None: none are made.
+        most: groups made on demand at once; past them queries share the group OTHER.
     """
 
     name: str
@@ -39,6 +42,8 @@
     queue_time: float = math.inf
     priority: int = 0
     children: tuple[GroupSpec, ...] = ()
+    each: GroupSpec | None = None
+    most: int = 1000
 
 
 def check_tree(spec: GroupSpec, at: str = "/groups") -> list[Problem]:
@@ -67,6 +72,15 @@
     if part > room + 1e-9:
         text = f"guarantees add up to {part:g}, and {room:g} is there to be given"
         yield Problem(f"{at}/children", text)
+    if spec.each is not None:
+        shape = replace(spec.each, name="each")
+        if shape.guaranteed:
+            yield Problem(
+                f"{at}/each/guaranteed", "groups made on demand are without number: none is guaranteed"
+            )
+        yield from _problems(shape, f"{at}/each", depth + 1, most)
+        if spec.most < 1:
+            yield Problem(f"{at}/most", f"{spec.most} is not above 0")
     names: dict[str, int] = {}
     for index, child in enumerate(spec.children):
         if child.name in names:
--- a/saffronlane/groups/tree.py
+++ b/saffronlane/groups/tree.py
@@ -13,10 +13,11 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
 
-from .spec import GroupSpec
+from .spec import OTHER, GroupSpec
 
 Path = tuple[str, ...]
 
@@ -57,6 +58,11 @@
     queue: list[tuple[float, int, Item]] = field(default_factory=list)  # heap, of a leaf
     ready: list[tuple[int, int, float, int, int, Node]] = field(default_factory=list)  # heap of children
     version: int = 0  # of its entry in the parent's heap
+    held: list[Node] = field(default_factory=list)  # children whose next query finds no room here
+    first: Node | None = None  # the first of them, and the work that may still pass it
+    room: float = 0.0
+    made: int = 0  # children made on demand
+    on_demand: bool = False
     parked: bool = True  # not in the parent's heap: nothing waits, or a limit binds
 
     @property
@@ -79,6 +85,7 @@
         self._orders = itertools.count()
         self._entries = itertools.count()
         self.root = self._make(spec, None)
+        self._items: dict[int, Item] = {}  # that wait or run
 
     def _make(self, spec: GroupSpec, parent: Node | None) -> Node:
         node = Node(spec, parent, next(self._orders))
@@ -92,19 +99,61 @@
             node = node.children[name]
         return node
 
+    def place(self, path: Path) -> Node:
+        """The group for a query: made where a shape says so, else as far down as there is one.
+
+        Where the way ends in a group with others below it, queries wait in its group OTHER.
+        """
+        node = self.root
+        for name in path:
+            child = node.children.get(name) or self._on_demand(node, name)
+            if child is None:
+                break
+            node = child
+        while node.children or node.spec.each is not None:
+            node = node.children.get(OTHER) or self._add(node, GroupSpec(OTHER))
+        return node
+
+    def _on_demand(self, node: Node, name: str) -> Node | None:
+        shape = node.spec.each
+        if shape is None:
+            return None
+        if node.made >= node.spec.most:
+            self._collect(node)
+        if node.made >= node.spec.most:
+            return None
+        node.made += 1
+        child = self._add(node, replace(shape, name=name))
+        child.on_demand = True
+        return child
+
+    def _add(self, node: Node, spec: GroupSpec) -> Node:
+        child = node.children[spec.name] = self._make(spec, node)
+        child.start = node.clock
+        return child
+
+    @staticmethod
+    def _collect(node: Node) -> None:
+        """Forget groups made on demand that are idle and owe nothing: a new one would be just the same."""
+        idle = [
+            name
+            for name, one in node.children.items()
+            if one.on_demand and not one.waiting and not one.running and one.start <= node.clock
+        ]
+        for name in idle:
+            node.children.pop(name).version += 1
+        node.made -= len(idle)
+
     # --- queries come and go ---
 
     def join(self, item: Item, path: Path) -> None:
         """Let a query wait in a group. Full where that or one above it takes no more."""
-        leaf = self.find(path)
-        if leaf.children:
-            raise ValueError(
-                f"group {'/'.join(path)} has groups below it: queries wait only in the last ones"
-            )
+        leaf = self.place(path)
         for node in leaf.line():
             if node.waiting + 1 > node.spec.queued:
                 raise Full(f"{int(node.spec.queued)} queries wait in group {'/'.join(node.path) or '/'}")
         item.node = leaf
+        self._items[item.id] = item
         heapq.heappush(leaf.queue, (item.deadline, item.id, item))
         for node in leaf.line():
             node.waiting += 1
@@ -115,6 +164,7 @@
         if item.node is None or item.running or item.gone:
             return
         item.gone = True
+        self._items.pop(item.id, None)
         for node in item.node.line():
             node.waiting -= 1
         self._tidy(item.node)
@@ -135,6 +185,11 @@
             if node.parent is not None:
                 node.parent.clock = max(node.parent.clock, node.start)
             self._charge(node, item.work)
+        for child, node in itertools.pairwise(leaf.line()):
+            if child is node.first:
+                node.first = None
+            elif node.first is not None:
+                node.room -= item.work
         self._tidy(leaf)
         self._wake(leaf)
         return item
@@ -144,6 +199,7 @@
         if item.node is None or not item.running:
             return
         item.running, item.gone = False, True
+        self._items.pop(item.id, None)
         correction = (work if work is not None else 0.0) - item.work
         for node in item.node.line():
             node.running -= 1
@@ -157,8 +213,77 @@
         """The fleet has grown or shrunk: shares of it are others now, for what runs too."""
         self.capacity = capacity
         for node in self._all(self.root):
+            self._free(node)
             self._push(node)
 
+    def swap(self, spec: GroupSpec, where: Callable[[Item], Path]) -> None:
+        """Go on with another tree: nothing is killed, and no account is forgiven.
+
+        What runs counts in the group of its path, or in the nearest one above that is still there. What waits
+        goes where `where` says, whatever the new limits on waiting are. A group keeps what it owes beside its
+        siblings, in work, whatever its weight was and is.
+        """
+        old, items = self.root, sorted(self._items.values(), key=lambda i: i.id)
+        self.root = self._make(spec, None)
+        self._inherit(old, self.root)
+        for item in items:
+            assert item.node is not None
+            if item.running:
+                item.node = self._nearest(item.node.path)
+                for node in item.node.line():
+                    node.running += 1
+                    node.threads += item.threads
+                    node.memory += item.memory_mb
+            else:
+                item.node = leaf = self.place(where(item))
+                heapq.heappush(leaf.queue, (item.deadline, item.id, item))
+                for node in leaf.line():
+                    node.waiting += 1
+        for node in self._all(self.root):
+            self._push(node)
+
+    def _nearest(self, path: Path) -> Node:
+        node = self.root
+        for name in path:
+            if name not in node.children:
+                break
+            node = node.children[name]
+        return node
+
+    def _inherit(self, old: Node, new: Node) -> None:
+        """Accounts by path; groups made on demand live on where their shape does."""
+        new.clock, new.work = old.clock, old.work
+        for name, before in old.children.items():
+            child = new.children.get(name)
+            if child is None and (before.on_demand and new.spec.each is not None):
+                child = self._on_demand(new, name)
+            elif child is None and name == OTHER and (new.children or new.spec.each is not None):
+                child = self._add(new, GroupSpec(OTHER))
+            if child is None:
+                continue
+            owed = max(0.0, before.start - old.clock) * before.spec.weight
+            child.start = new.clock + owed / child.spec.weight
+            self._inherit(before, child)
+        for child in new.children.values():
+            child.start = max(child.start, new.clock)
+
+    def drain_time(self, path: Path, rate: float) -> float:
+        """Seconds in which what waits in a group would have run, at the share that weights give it now.
+
+        `rate` is the thread seconds that the gateway gets done in a second.
+        """
+        node = self._nearest(path)
+        share = 1.0
+        for one in node.line():
+            if one.parent is not None:
+                others = [
+                    c for c in one.parent.children.values() if c is not one and (c.waiting or c.running)
+                ]
+                share *= one.spec.weight / (one.spec.weight + sum(c.spec.weight for c in others))
+        queued = (i for i in self._items.values() if not i.running and i.node is not None)
+        waiting = sum((i.work for i in queued if node in i.node.line()), 0.0)  # type: ignore[union-attr]
+        return waiting / (rate * share) if rate > 0.0 else math.inf
+
     # --- inside ---
 
     def _all(self, node: Node) -> Iterator[Node]:
@@ -189,16 +314,36 @@
             *_, version, child = node.ready[0]
             leaf = self._peek(child) if version == child.version and child.waiting else None
             if leaf is not None:
-                return leaf if self._fits(node, leaf.queue[0][2]) else None
+                head = leaf.queue[0][2]
+                if self._fits(node, head):
+                    return leaf if child is node.first or self._may_pass(node, head) else None
+                node.held.append(child)  # too large for what is left here: smaller ones may go meanwhile
+                if node.first is None:
+                    node.first, node.room = child, head.work
             heapq.heappop(node.ready)
             child.parked = child.parked or version == child.version
         return None
 
+    @staticmethod
+    def _may_pass(node: Node, item: Item) -> bool:
+        """Others pass a query that finds no room by as much work as its own: then it is let in first."""
+        return node.first is None or item.work <= node.room
+
     def _wake(self, leaf: Node) -> None:
         """Something changed on this line: what was parked there is looked at again, with its new place."""
         for node in leaf.line():
+            self._free(node)
             self._push(node)
 
+    def _free(self, node: Node) -> None:
+        """Look again at the children that found no room here."""
+        if node.first is not None and not node.first.waiting:
+            node.first = None
+        held, node.held = node.held, []
+        for child in held:
+            child.parked = False  # it keeps its place: not its own limit held it
+            self._push(child)
+
     def _push(self, node: Node) -> None:
         if node.parent is None or not node.waiting:
             node.version += 1
