--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -187,6 +187,8 @@
             if entries:
                 self._listed = True
                 self.keeper.after_list(self.gateway)
+                if said := self.keeper.recalled:
+                    self._effects.append(api.Log(said))
         except Exception as error:
             # Guards against a fault in the decisions: no request may be lost by it, and no later one harmed.
             self._begin_anew(now, repr(error))
--- a/saffronlane/folder.py
+++ b/saffronlane/folder.py
@@ -7,6 +7,7 @@
 import errno
 import json
 import time
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 
@@ -68,6 +69,8 @@
         self.on_forget: Callable[[tuple[What, ...]], None] | None = None
         self.on_attach: Callable[[Memory], None] | None = None
         self.memory: Memory | None = None
+        self._settled: deque[tuple[asyncio.Future[bool], bool]] = deque()
+        self._settling = False
         self._begun = False  # the first commit has been given to the writer
         self._report_at = loop.time() + REPORT
         self._try()
@@ -223,12 +226,23 @@
             return None
         future: asyncio.Future[bool] = self._loop.create_future()
 
-        def done(kept: bool) -> None:
+        self._writer.put(changes, lambda kept: self._durable(future, kept))
+        return future
+
+    def _durable(self, future: asyncio.Future[bool], kept: bool) -> None:
+        """On the writer's thread. One wake of the loop for all of a commit: each wake is a system call."""
+        self._settled.append((future, kept))
+        if not self._settling:
+            self._settling = True
             with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile
-                self._loop.call_soon_threadsafe(_settle, future, kept)
+                self._loop.call_soon_threadsafe(self._settle)
 
-        self._writer.put(changes, done)
-        return future
+    def _settle(self) -> None:
+        self._settling = False  # before the list is emptied: who appends from now on wakes the loop again
+        while self._settled:
+            future, kept = self._settled.popleft()
+            if not future.done():
+                future.set_result(kept)
 
     def stop(self, dispatcher: Dispatcher, unsaved: int) -> None:
         """Leave a last snapshot, and give the folder free."""
@@ -248,8 +262,3 @@
         if self._lock is not None:
             self._lock.release()
         self._files = self._lock = None
-
-
-def _settle(future: asyncio.Future[bool], kept: bool) -> None:
-    if not future.done():
-        future.set_result(kept)
--- a/saffronlane/knowledge/keeper.py
+++ b/saffronlane/knowledge/keeper.py
@@ -71,6 +71,15 @@
                 self.wash.begin(index, kept, mass)
         self._listed = True
 
+    @property
+    def recalled(self) -> str:
+        """Words for the log on what came of an earlier run's knowledge; empty: nothing."""
+        known = self.summary
+        if not (known.classes or known.engines):
+            return ""
+        classes = ", ".join(f"{name} as {mass:g} answers" for name, mass in known.classes.items())
+        return f"recalled {known.engines} engines; classes: {classes or 'none'}"
+
     def after_list(self, gateway: Gateway) -> None:
         if self._recall is not None:
             self._recall.tell(gateway)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -433,6 +433,8 @@
     after.engines(4)
     assert after.core.gateway.learned[0].exec_time() == pytest.approx(0.05, rel=0.02)
     assert after.core.keeper.summary.classes["short"] == pytest.approx(weigh.MASS_MOST, rel=0.01)
+    said = [e.text for e in after.effects if isinstance(e, api.Log)]
+    assert said == ["recalled 4 engines; classes: short as 16 answers"]
 
 
 def test_knowledge_fades_as_it_ages():
