groups: queue times are kept

Need: a spec's queue_time had no effect.

Change: Tree.overdue gives up and returns what has waited longer than any group above it allows; a swap applies new times to what waits already; ends of queries that have gone are bounded.

--- a/saffronlane/groups/tree.py
+++ b/saffronlane/groups/tree.py
@@ -31,6 +31,7 @@
     work: float
     threads: float = 1.0
     memory_mb: float = 0.0
+    since: float = 0.0  # when it came, on the caller's clock
     node: Node | None = field(default=None, repr=False)
     running: bool = False
     gone: bool = False
@@ -87,6 +88,7 @@
         self._entries = itertools.count()
         self.root = self._make(spec, None)
         self._items: dict[int, Item] = {}  # that wait or run
+        self._ends: list[tuple[float, int, Item]] = []  # heap of the times at which queue times are over
 
     def _make(self, spec: GroupSpec, parent: Node | None) -> Node:
         node = Node(spec, parent, next(self._orders))
@@ -159,8 +161,27 @@
         for node in leaf.line():
             node.waiting += 1
             node.pending += item.work
+        self._limit_wait(item, leaf)
         self._wake(leaf)
 
+    def _limit_wait(self, item: Item, leaf: Node) -> None:
+        end = item.since + min(node.spec.queue_time for node in leaf.line())
+        if end < math.inf:
+            heapq.heappush(self._ends, (end, item.id, item))
+            if len(self._ends) > 2 * self.root.waiting + 16:
+                self._ends = [e for e in self._ends if not e[2].running and not e[2].gone]
+                heapq.heapify(self._ends)
+
+    def overdue(self, now: float) -> list[Item]:
+        """Queries that have waited longer than one of their groups allows; they are given up here."""
+        found = []
+        while self._ends and self._ends[0][0] <= now:
+            item = heapq.heappop(self._ends)[2]
+            if not item.running and not item.gone:
+                self.leave(item)
+                found.append(item)
+        return found
+
     def leave(self, item: Item) -> None:
         """A query that waits is given up."""
         if item.node is None or item.running or item.gone:
@@ -228,6 +249,7 @@
         siblings, in work, whatever its weight was and is.
         """
         old, items = self.root, sorted(self._items.values(), key=lambda i: i.id)
+        self._ends = []
         self.root = self._make(spec, None)
         self._inherit(old, self.root)
         for item in items:
@@ -244,6 +266,7 @@
                 for node in leaf.line():
                     node.waiting += 1
                     node.pending += item.work
+                self._limit_wait(item, leaf)
         for node in self._all(self.root):
             self._push(node)
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -224,6 +224,25 @@
     assert [i.deadline for i in feed.take(5)] == [2.0, 3.0, 5.0]
 
 
+def test_no_query_waits_longer_than_its_groups_allow():
+    quick = GroupSpec(
+        "p", queue_time=2.0, threads=1.0, children=(GroupSpec("x", queue_time=5.0), GroupSpec("y"))
+    )
+    feed = Feed(tree(quick, GroupSpec("q")))
+    for at in (0.0, 1.0):
+        for path in (("p", "x"), ("p", "y"), ("q",)):
+            feed.join(path, 1.0, since=at)
+    out = feed.take(3, end=False)
+    assert [i.node.path[0] for i in out if i.node is not None] == ["p", "q", "q"]
+    assert [i.since for i in feed.tree.overdue(2.5)] == [0.0]
+    feed.tree.swap(GroupSpec("root", children=(replace(quick, queue_time=9.0),)), lambda i: ("p", "y"))
+    assert feed.tree.overdue(4.0) == [] and len(feed.tree.overdue(10.0)) == 2
+    assert feed.tree.root.waiting == 0
+    for n in range(3000):
+        feed.tree.leave(feed.join(("p", "x"), 1.0, since=float(n)))
+    assert len(feed.tree._ends) <= 18
+
+
 def test_a_full_group_names_itself():
     feed = Feed(tree(GroupSpec("p", queued=2.0, children=(GroupSpec("x"), GroupSpec("y")))))
     gone = feed.join(("p", "x"), 1.0)
