One piece each for trials, seed sums, recalled sums, a folder's place, what fades

Need: reading the change again showed twins: trials begun in two places, seed and recalled sums written out three times, the lock's place formatted twice, the same set derived twice, an engine's entry built by hand beside export.entry, an unused map in the ledger, nested handlers in Store.work.

Change: _try_out, _hold, FADING, seed_sums, recalled_sums, place_of; Ledger takes nothing. Behaviour is the same.

--- a/saffronlane/knowledge/keeper.py
+++ b/saffronlane/knowledge/keeper.py
@@ -22,6 +22,7 @@
 
 LAG = 0.5  # seconds between two looks at what has changed
 PATIENCE = 0.25  # seconds that an attempt waits for a disk that hangs; then it goes, and that is told
+FADING = (k.ORDER, k.ENGINE)  # kinds whose entries go when nothing speaks for them any more
 SEEN = 60.0  # seconds; how exactly it is kept when an engine was last listed
 
 
@@ -36,16 +37,16 @@
 
     def __init__(self, settings: api.Settings, memory: Memory | None = None, keeping: bool = False) -> None:
         self.settings, self.keeping = settings, keeping
-        self.ledger = Ledger(settings)
+        self.ledger = Ledger()
         self.summary = Summary()
         self.wash = Wash()
         self._recall = Recall(settings, memory) if memory is not None else None
         self._written: dict[bytes, Entry] = {}
+        # Keys that fade when nothing speaks for them; requests are told by the ledger, and may be many.
+        self._fading: set[bytes] = set()
         if memory is not None and keeping:
-            self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+            self._hold(memory)
         self._scatters = [Scatter() for _ in settings.classes]
-        # Keys that fade when nothing speaks for them; requests are told by the ledger, and may be many.
-        self._fading = {key for key in self._written if k.kind_of(key) in (k.ORDER, k.ENGINE)}
         self._newer = self._recall.newer if self._recall is not None else frozenset()
         self._counts: dict[str, int] = {}  # by class, at its last writing
         self._next = -math.inf
@@ -65,12 +66,21 @@
         """Before the gateway takes its first list."""
         if self._recall is not None and not self._listed:
             self._recall.listed(gateway, entries)
-            for index, mass in self._recall.masses.items():
-                kept = self._recall.class_named(gateway.learned[index].cls.name)
-                assert kept is not None
-                self.wash.begin(index, kept, mass)
+            self._try_out(self._recall)
         self._listed = True
 
+    def _try_out(self, recall: Recall) -> None:
+        """Put on trial what was recalled of classes."""
+        for index, mass in recall.masses.items():
+            kept = recall.class_named(self.settings.classes[index].name)
+            assert kept is not None
+            self.wash.begin(index, kept, mass)
+
+    def _hold(self, memory: Memory) -> None:
+        """What a folder holds is what has been written."""
+        self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
+        self._fading = {key for key in self._written if k.kind_of(key) in FADING}
+
     @property
     def recalled(self) -> str:
         """Words for the log on what came of an earlier run's knowledge; empty: nothing."""
@@ -156,13 +166,9 @@
         """Take a folder in that another process had until now, and begin to keep. Gives the first commit."""
         self._recall = recall = Recall(self.settings, memory)
         self.keeping, self._newer, self.summary = True, recall.newer, recall.summary
-        self._written = {key: entry for key, entry in memory.entries if key != k.RUN}
-        self._fading = {key for key in self._written if k.kind_of(key) in (k.ORDER, k.ENGINE)}
+        self._hold(memory)
         recall.attach(gateway, self.ledger)
-        for index, mass in recall.masses.items():
-            kept = recall.class_named(gateway.learned[index].cls.name)
-            assert kept is not None
-            self.wash.begin(index, kept, mass)
+        self._try_out(recall)
         self._counts.clear()
         self.ledger.changed.update(self.ledger.identities())
         return self._differing({**recall.rebased, **self._all(gateway)})
@@ -252,7 +258,7 @@
                 self._fading.discard(key)
             else:
                 self._written[key] = made.entry
-                if k.kind_of(key) in (k.ORDER, k.ENGINE):
+                if k.kind_of(key) in FADING:
                     self._fading.add(key)
             found.append(made)
         return found
--- a/saffronlane/knowledge/ledger.py
+++ b/saffronlane/knowledge/ledger.py
@@ -26,8 +26,7 @@
 class Ledger:
     """In order of time to be forgotten; bounded in time and in number."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self._classes = {c.name: c for c in settings.classes}
+    def __init__(self) -> None:
         self._lines: dict[bytes, _Line] = {}
         self._ends: list[tuple[float, bytes]] = []  # heap
         self.changed: set[bytes] = set()  # identities to be written
--- a/saffronlane/knowledge/recall.py
+++ b/saffronlane/knowledge/recall.py
@@ -14,8 +14,8 @@
 from ..rules import SEED_ANSWERS, Gateway, Learned
 from ..state import Engine, Told
 from ..storage import Entry
+from . import export, weigh
 from . import kept as k
-from . import weigh
 from .clock import Gap, Moment, between
 from .ledger import Ledger
 from .rebase import Rebase
@@ -135,9 +135,7 @@
     def attach(self, gateway: Gateway, ledger: Ledger) -> None:
         """Into a gateway that runs already: what rules stand on, and classes of which it knows nothing."""
         self._take_ledgers(gateway, ledger)
-        engines = gateway.engines.values()
-        listed = tuple(api.EngineEntry(e.id, e.state, e.started, e.zone, e.kind, e.cell) for e in engines)
-        self.listed(gateway, listed)
+        self.listed(gateway, tuple(map(export.entry, gateway.engines.values())))
 
     def _take_ledgers(self, gateway: Gateway, ledger: Ledger) -> None:
         self._take_budget(gateway)
@@ -244,43 +242,46 @@
         return recent
 
 
+Sums = tuple[float, float, float, float]  # estimates, latencies, works, calm works, as in `rules.Learned`
+
+
+def seed_sums(cls: api.ClassSettings, cost: float, answers: float) -> Sums:
+    """What so many seed answers come to."""
+    work = answers * cls.aim * cls.threads
+    return answers * cost, answers * cls.aim, work, work
+
+
+def recalled_sums(one: k.ClassKept, mass: float) -> Sums:
+    """What so many answers of recalled knowledge come to."""
+    whole = mass * one.cost
+    return whole, whole * one.latency, whole * one.work, whole * one.calm
+
+
 def teach(known: Learned, one: k.ClassKept, mass: float) -> bool:
     """Put so many answers' worth of knowledge in the place of as many seeds. False if it makes no sense."""
     figures = (one.cost, one.latency, one.work, one.calm, one.best)
     if not all(math.isfinite(f) and 0.0 < f < 1e9 for f in figures) or not 0.0 <= one.need < 1e9:
         return False
-    seed, cls = weigh.seeds(mass), known.cls
-    parts = (one.cost, cls.aim, cls.aim * cls.threads, cls.aim * cls.threads)
-    known.seed = (seed * parts[0], seed * parts[1], seed * parts[2], seed * parts[3])
+    known.seed = seed_sums(known.cls, one.cost, weigh.seeds(mass))
     known.told = one.cost
-    whole = mass * one.cost
-    known.estimates = known.seed[0] + whole
-    known.latencies = known.seed[1] + whole * one.latency
-    known.works = known.seed[2] + whole * one.work
-    known.calm = known.seed[3] + whole * one.calm
+    sums = [seed + own for seed, own in zip(known.seed, recalled_sums(one, mass), strict=True)]
+    known.estimates, known.latencies, known.works, known.calm = sums
     share = mass / (mass + SEED_ANSWERS)
     known.best = 1.0 + share * (one.best - 1.0)
     known.need = one.need if mass >= 1.0 else 0.0
     return True
 
 
-def unteach(known: Learned, cost: float, recalled: tuple[float, float, float, float], answers: int) -> None:
+def unteach(known: Learned, cost: float, recalled: Sums, answers: int) -> None:
     """Take recalled sums out again, as far as they still count, and seeds back in; new answers stay."""
-    part = weigh.left(1.0, answers)
-    cls = known.cls
-    seeds = (cost, cls.aim, cls.aim * cls.threads, cls.aim * cls.threads)
+    part, seeds = weigh.left(1.0, answers), seed_sums(known.cls, cost, SEED_ANSWERS)
     now = (known.estimates, known.latencies, known.works, known.calm)
     fresh = [
-        max(1e-9, sums - part * (old + was)) + part * SEED_ANSWERS * seed
+        max(1e-9, sums - part * (old + was)) + part * seed
         for sums, old, was, seed in zip(now, recalled, known.seed, seeds, strict=True)
     ]
     known.estimates, known.latencies, known.works, known.calm = fresh
-    known.seed = (
-        seeds[0] * SEED_ANSWERS,
-        seeds[1] * SEED_ANSWERS,
-        seeds[2] * SEED_ANSWERS,
-        seeds[3] * SEED_ANSWERS,
-    )
+    known.seed = seeds
     known.best, known.need = 1.0, 0.0
     known.count -= known.recalled_count
     known.recalled_count = 0
--- a/saffronlane/knowledge/wash.py
+++ b/saffronlane/knowledge/wash.py
@@ -13,7 +13,7 @@
 from ..rules import DECAY, Learned
 from . import weigh
 from .kept import ClassKept
-from .recall import unteach
+from .recall import Sums, recalled_sums, unteach
 
 LEAST = 8.0  # answers from which a scatter is told
 TRIAL = 32  # answers; what has stood so many has mostly been replaced by them
@@ -43,7 +43,7 @@
 @dataclass(slots=True)
 class _Trial:
     kept: ClassKept
-    sums: tuple[float, float, float, float]  # recalled, without seeds
+    sums: Sums  # recalled, without seeds
     total: float = 0.0
     answers: int = 0
     asked: float = math.inf  # first
@@ -60,9 +60,7 @@
         return len(self._trials)
 
     def begin(self, index: int, kept: ClassKept, mass: float) -> None:
-        whole = mass * kept.cost
-        sums = (whole, whole * kept.latency, whole * kept.work, whole * kept.calm)
-        self._trials[index] = _Trial(kept, sums)
+        self._trials[index] = _Trial(kept, recalled_sums(kept, mass))
 
     def asked(self, index: int, now: float) -> None:
         """A query of a class has come."""
--- a/saffronlane/knowledge_cli.py
+++ b/saffronlane/knowledge_cli.py
@@ -20,7 +20,7 @@
 from .knowledge.clock import between
 from .knowledge.forget import What, in_entries
 from .storage import FolderBusy, FolderLock, RealFiles, Recovery, Store, StoreFailed, recover
-from .storage.files import LOCK_NAME
+from .storage.files import LOCK_NAME, place_of
 
 FOLDER = click.Path(file_okay=False, exists=True, path_type=Path)
 ANSWER = 5.0  # seconds that a running gateway has to take a request
@@ -72,8 +72,7 @@
 
 def _now(folder: Path) -> Moment:
     try:
-        status = (folder / LOCK_NAME).stat()
-        place = f"{status.st_dev:x}.{status.st_ino:x}"
+        place = place_of((folder / LOCK_NAME).stat())
     except OSError:
         place = ""
     return Moment(time.monotonic(), time.time(), boot_id(), place)
--- a/saffronlane/storage/files.py
+++ b/saffronlane/storage/files.py
@@ -127,10 +127,15 @@
     """Another process has the folder; the text says which, as far as it is known."""
 
 
+def place_of(lock: os.stat_result) -> str:
+    """Names a folder by its lock's own file: one that was copied or restored has another."""
+    return f"{lock.st_dev:x}.{lock.st_ino:x}"
+
+
 class FolderLock:
     """The exclusive use of a folder, for as long as this process lives (flock(2)). OSError, FolderBusy.
 
-    `place` names the lock's own file: a folder that was copied or restored has another.
+    `place`: see `place_of`.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -149,8 +154,7 @@
             os.pwrite(self._fd, f"{os.getpid()}\n".encode(), 0)
         except OSError:
             pass  # a full disk: the lock holds all the same, only its holder is not named
-        status = os.fstat(self._fd)
-        self.place = f"{status.st_dev:x}.{status.st_ino:x}"
+        self.place = place_of(os.fstat(self._fd))
 
     def release(self) -> None:
         if self._fd >= 0:
--- a/saffronlane/storage/store.py
+++ b/saffronlane/storage/store.py
@@ -126,13 +126,9 @@
         if self._compaction is None or self.failed:
             return False
         try:
-            next(self._compaction)
-        except StopIteration:
-            self._compaction = None
-            try:
+            if next(self._compaction, True):  # slices give None
+                self._compaction = None
                 self._clean()
-            except OSError as error:
-                raise self._broken(error) from error
         except OSError as error:
             raise self._broken(error) from error
         return self._compaction is not None
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -214,7 +214,7 @@
 
 def test_requests_are_forgotten_in_time_and_in_number(monkeypatch):
     monkeypatch.setattr("saffronlane.knowledge.ledger.MOST", 10)
-    ledger = Ledger(make_settings())
+    ledger = Ledger()
     entry = api.EngineEntry(b"e", EngineState.READY)
     for n in range(50):
         ledger.sent(b"%d" % n, KEYED, float(n), entry)
