The minute's report tells the attempts that left unsaved, not always none

Need: found on reading again: the line of each minute had 0 in place of the count; only the last one was right.

Change: the folder asks the executor when it reports.

--- a/saffronlane/daemon.py
+++ b/saffronlane/daemon.py
@@ -88,6 +88,7 @@
     def start(self, sockets: list[socket.socket] | None = None) -> None:
         """Listen. OSError where the address cannot be had."""
         if self.folder is not None:
+            self.folder.unsaved = lambda: self.executor.unsaved
             self.folder.on_attach = lambda memory: self.executor.feed(d.Attach(memory))
             self.folder.on_forget = lambda what: self.executor.feed(d.Forget(what))
             self.folder.start(self.dispatcher)
@@ -146,7 +147,7 @@
         self.executor.close()
         self.server.close()
         if self.folder is not None:
-            self.folder.stop(self.dispatcher, self.executor.unsaved)
+            self.folder.stop(self.dispatcher)
         if self._record is not None:
             self._record.close()
             self._record = None
--- a/saffronlane/folder.py
+++ b/saffronlane/folder.py
@@ -53,6 +53,7 @@
     Attributes:
         memory: what was read, for the dispatcher; None: the folder is not in use (yet).
         on_attach: told once it is, where it was not at the start.
+        unsaved: tells how many attempts left though what must be on disk before them was not.
         on_forget: told what an operator wants forgotten.
     """
 
@@ -68,6 +69,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self.on_forget: Callable[[tuple[What, ...]], None] | None = None
         self.on_attach: Callable[[Memory], None] | None = None
+        self.unsaved: Callable[[], int] = lambda: 0
         self.memory: Memory | None = None
         self._settled: deque[tuple[asyncio.Future[bool], bool]] = deque()
         self._settling = False
@@ -192,9 +194,9 @@
         self._timer = self._loop.call_later(SIGN, self._beat)
         if self._loop.time() >= self._report_at:
             self._report_at = self._loop.time() + REPORT
-            self.report(0)
+            self.report()
 
-    def report(self, unsaved: int) -> None:
+    def report(self) -> None:
         """A line for the log, of how the store fares."""
         status = self.status
         log.info(
@@ -206,7 +208,7 @@
             commits=status.commits,
             failures=status.failures,
             lost=status.lost,
-            unsaved=unsaved,
+            unsaved=self.unsaved(),
             bytes=status.bytes,
             entries=status.entries,
         )
@@ -244,7 +246,7 @@
             if not future.done():
                 future.set_result(kept)
 
-    def stop(self, dispatcher: Dispatcher, unsaved: int) -> None:
+    def stop(self, dispatcher: Dispatcher) -> None:
         """Leave a last snapshot, and give the folder free."""
         if self._timer is not None:
             self._timer.cancel()
@@ -252,7 +254,7 @@
             self._writer.put([*dispatcher.kept(), self._sign(clean=True)])
             if not self._writer.stop(LAST_COMMIT):
                 log.error("the last of what was known is not kept: the disk hangs", folder=str(self.path))
-            self.report(unsaved)
+            self.report()
             self._writer = None
         self._release()
 
