--- a/saffronlane/benchlink.py
+++ b/saffronlane/benchlink.py
@@ -11,19 +11,18 @@
 import sys
 import traceback
 from collections.abc import Callable
-from enum import Enum, IntEnum
+from enum import IntEnum
 from typing import BinaryIO, TypeVar
 
 from . import interface as api
+from . import params
 from .rules import Gateway
 
 EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE, HEADER_SIZE = 56, 32, 24, 16
 ALL_PEERS = 0xFFFFFFFF
 WORK_UNIT, MEMORY_UNIT_MB = 4096, 4.0
-EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 
 E = TypeVar("E", bound=IntEnum)
-C = TypeVar("C", bound=Enum)
 
 _HEAD = struct.Struct(">IId")
 _REPLY = struct.Struct(">II")
@@ -47,170 +46,12 @@
     """The input is not what the wire allows; the text names what is wrong."""
 
 
-# --- settings -------------------------------------------------------------------------------------
-
-
-class _Params:
-    """The path=value lines of one `born` event; unknown paths are never looked at."""
-
-    def __init__(self, text: str) -> None:
-        self._values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def __contains__(self, path: str) -> bool:
-        return path in self._values
-
-    def text(self, path: str, default: str | None = None) -> str:
-        value = self._values.get(path, default)
-        if value is None:
-            raise WireError(f"missing setting {path}")
-        return value
-
-    def number(self, path: str, default: float | None = None) -> float:
-        value = self.text(path, None if default is None else repr(default))
-        try:
-            return float(value)
-        except ValueError:
-            raise WireError(f"setting {path} is not a number: {value!r}") from None
-
-    def flag(self, path: str) -> bool:
-        return self.text(path, "false") == "true"
-
-    def items(self, path: str, default: str | None = None) -> list[str]:
-        value = self.text(path, default)
-        return value.split(",") if value else []
-
-
-def _names_to_indices(params: _Params, path: str, names: list[str]) -> tuple[int, ...] | None:
-    if path not in params:
-        return None
-    chosen = params.items(path)
-    return tuple(
-        int(item) if item.isdigit() and item not in names else names.index(item)
-        for item in chosen
-        if item in names or item.isdigit()
-    )
-
-
-def _class_settings(params: _Params, index: int, zones: list[str], kinds: list[str]) -> api.ClassSettings:
-    def of_class(path: str, default: str) -> str:
-        values = params.items(path, "")
-        return values[index] if index < len(values) else default
-
-    base = f"services.{index}."
-    effect = params.text(base + "effect", "retryable")
-    if effect not in EFFECTS:
-        raise WireError(f"setting {base}effect is unknown: {effect!r}")
-    group = params.text(base + "group", "all")
-    if group not in {member.value for member in api.Group}:
-        raise WireError(f"setting {base}group is unknown: {group!r}")
-    threads = of_class("extra.parallelism", "1")
-    if not threads.isdigit():
-        raise WireError(f"setting extra.parallelism is not a list of numbers: {threads!r}")
-    return api.ClassSettings(
-        name=params.text(base + "name"),
-        aim=params.number(base + "aim"),
-        deadline=params.number(base + "deadline"),
-        value=params.number(base + "value", 1.0),
-        late_value=params.number(base + "lateValue", 0.0),
-        aim_stretch=params.number(base + "aimStretch", 0.0),
-        threads=int(threads),
-        effect=EFFECTS[effect],
-        group=api.Group(group),
-        key_ttl=params.number(base + "keyTtl", 0.0),
-        ordered=params.flag(base + "sequential"),
-        stream=params.flag(base + "stream"),
-        is_load=of_class("extra.writesTables", "false") == "true",
-        waits_for_loads=of_class("extra.yieldsToLoads", "false") == "true",
-        zones_only=_names_to_indices(params, base + "zonesOpen", zones),
-        kinds_only=_names_to_indices(params, base + "kindsOnly", kinds),
-    )
-
-
-def _kind_settings(params: _Params, kinds: list[str]) -> tuple[api.KindSettings, ...]:
-    cores = params.items("extra.kindCores")
-    memory = params.items("extra.sizeMb", "")
-    if len(cores) < len(kinds):
-        raise WireError("setting extra.kindCores has fewer values than kinds")
-    try:
-        return tuple(
-            api.KindSettings(name, float(cores[i]), float(memory[i]) if i < len(memory) else 0.0)
-            for i, name in enumerate(kinds)
-        )
-    except ValueError as error:
-        raise WireError(f"setting extra.kindCores or extra.sizeMb: {error}") from None
-
-
-def _choice(params: _Params, path: str, kind: type[C], default: C) -> C:
-    value = params.text(path, default.value)
-    try:
-        return kind(value)
-    except ValueError:
-        raise WireError(f"setting {path} is unknown: {value!r}") from None
-
-
-def _columns(params: _Params) -> tuple[str, ...]:
-    return tuple(params.items("report.columns", ""))
-
-
 def read_settings(text: str) -> api.Settings:
     """Turn the lines of `params` into Settings; WireError names what is missing or odd."""
-    params = _Params(text)
-    zones, kinds = params.items("zones", ""), params.items("kinds")
-    has_budget = "guarantees.lookBack" in params
-    return api.Settings(
-        classes=tuple(
-            _class_settings(params, i, zones, kinds) for i in range(int(params.number("services.count")))
-        ),
-        kinds=_kind_settings(params, kinds),
-        gateways=int(params.number("fleetSize")),
-        position=int(params.number("position", 0)),
-        zone=int(params.number("zone", 0)),
-        zones=tuple(zones),
-        tenants=tuple(
-            api.TenantSettings(
-                name=params.text(f"tenants.{i}.name"),
-                allowance=params.number(f"tenants.{i}.allowancePerS", 0.0),
-                share=params.number(f"tenants.{i}.share", 0.0),
-            )
-            for i in range(int(params.number("tenants.count", 0)))
-        ),
-        guarantees=api.Guarantees(
-            answer_slack=params.number("guarantees.answerSlack", 0.0),
-            drain_grace=params.number("guarantees.stopSendingWithin", 0.0),
-            fall_multiple=params.number("guarantees.fallMultiple", 0.0),
-            fall_window=params.number("guarantees.fall", 0.0),
-            cold_share=params.number("guarantees.coldFrom", 1.0),
-            cold_time=params.number("guarantees.cold", 0.0),
-            order_settle=params.number("guarantees.orderSettle", 0.0),
-            budget_free=params.number("guarantees.extraFree", 0.0) if has_budget else None,
-            budget_ratio=params.number("guarantees.repeatRatio", 0.0),
-            budget_window=params.number("guarantees.lookBack", 0.0),
-            ask_within=params.number("guarantees.askWithin", 0.0),
-        ),
-        limits=api.Limits(
-            cancel=params.flag("limits.cancel"),
-            second_copies=params.flag("limits.secondCopies"),
-            probing=params.flag("limits.probing"),
-            probe_price=params.number("prices.probe", 0.0),
-            peers=params.flag("limits.peers"),
-            retry_after=params.flag("limits.retryAfter"),
-            max_attempts=int(params.number("limits.sendCap", 1)),
-            max_retry_after=params.number("limits.maxRetryAfter", 0.0),
-            connect_timeout=params.number("limits.connectTimeout", 0.0),
-            max_streams=int(params.number("limits.maxStreams", 0)),
-        ),
-        grants_heeded=params.flag("extra.grantsCount"),
-        priorities_heeded=params.flag("extra.ranksHeeded"),
-        largest_grant_share=params.number("extra.largestShare", 1.0),
-        memory_short=_choice(params, "extra.memoryShort", api.MemoryShort, api.MemoryShort.WAIT),
-        note_period=params.number("extra.notePeriod", 0.0),
-        work_told=params.flag("extra.costInAnswers"),
-        over_share_worth=params.number("overShareWorth", 1.0),
-        ask_for_list=params.text("membershipMode", "push") == "ask",
-        report_columns=() if params.text("report.via", "none") == "none" else _columns(params),
-        zone_price=params.number("prices.crossZone", 0.0),
-        tick=params.number("tick", 0.0),
-    )
+    try:
+        return params.read_settings(params.Params.of_lines(text))
+    except params.SettingsError as error:
+        raise WireError(str(error)) from None
 
 
 # --- events ---------------------------------------------------------------------------------------
--- a/saffronlane/daemon.py
+++ b/saffronlane/daemon.py
@@ -14,7 +14,8 @@
 from . import dispatch as d
 from .config import Config, EngineRecord
 from .dispatch.journal import Journal
-from .engines import Executor, ExecutorLimits
+from .engines import Executor
+from .engines.flight import ExecutorLimits, FlightLinks
 from .engines.pool import PoolLimits
 from .flight import FlightFront
 from .folder import Folder
@@ -22,6 +23,7 @@
 from .http2.transport import local_sockets
 from .interface import PeerMessage
 from .members import FileSource, View
+from .peers import Peers
 from .rpc import Server
 
 log = structlog.get_logger()
@@ -55,16 +57,19 @@
             cancel_wait=config.cancel_wait,
             pool=PoolLimits(config.connect_timeout, config.per_engine),
         )
-        self.peers = Peers(config, self._on_peer) if config.peer_listen is not None else None
+        self.peers = None
+        if config.peer_listen is not None:
+            self.peers = Peers(
+                config.peer_listen, config.peer_addresses, config.settings.position, self._on_peer
+            )
+        self.links = FlightLinks(limits, self.view.address, str(config.settings.position))
         self.executor = Executor(
             self.dispatcher,
-            limits,
-            self.view.address,
+            self.links,
             self.peers.send if self.peers is not None else None,
-            str(config.settings.position),
             self.folder.keep if self.folder is not None else None,
         )
-        self.front = FlightFront(config, self.executor)
+        self.front = FlightFront(config, self.executor, self.links)
         self.server = Server(self.front.handlers, http, config.max_connections, config.max_message)
         self.source = FileSource(config, self._on_list)
         self._share_port = share_port
@@ -78,7 +83,7 @@
         self.executor.feed(self.view.replace(version, records))
         for engine in before:
             if engine not in self.view.snapshot:
-                self.executor.forget_engine(engine)
+                self.links.forget_engine(engine)
         states = [r.state.name.lower() for r in records]
         log.info("engine list", version=version, engines=len(records), ready=states.count("ready"))
 
@@ -157,44 +162,6 @@
         await self.ended.wait()
 
 
-class Peers(asyncio.DatagramProtocol):
-    """Messages between gateways: one UDP datagram each, lost ones stay lost. Senders are known by address."""
-
-    MOST = 256
-
-    def __init__(self, config: Config, on_message: object) -> None:
-        self._config = config
-        self._on_message = on_message
-        self._transport: asyncio.DatagramTransport | None = None
-        self._positions = {address: n for n, address in enumerate(config.peer_addresses)}
-        self._task: asyncio.Task[object] | None = None
-
-    def start(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._task = loop.create_task(
-            loop.create_datagram_endpoint(lambda: self, local_addr=self._config.peer_listen)
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport  # type: ignore[assignment]
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        sender = self._positions.get(addr)
-        if sender is not None and len(data) <= self.MOST and callable(self._on_message):
-            self._on_message(sender, data)
-
-    def send(self, peer: int | None, data: bytes) -> None:
-        if self._transport is None or len(data) > self.MOST:
-            return
-        for position, address in enumerate(self._config.peer_addresses):
-            if position != self._config.settings.position and peer in (None, position):
-                self._transport.sendto(data, address)
-
-    def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
-
 async def serve(config: Config, share_port: bool = False) -> None:
     """Run a daemon until SIGTERM or SIGINT."""
     import signal
--- a/saffronlane/engines/__init__.py
+++ b/saffronlane/engines/__init__.py
@@ -1,5 +1,9 @@
-"""Clients of the engines: pooled connections, attempts, and how exactly each attempt ended. No decision."""
+"""Clients of the engines: attempts, how exactly each ended, and the transports that run them. No decision.
 
-from .executor import Executor, ExecutorLimits, Sink, Work
+`executor.py` serves any transport; `flight.py` is the one by Flight SQL, and is not imported here, so that a
+program with another transport loads neither gRPC nor protobuf.
+"""
 
-__all__ = ["Executor", "ExecutorLimits", "Sink", "Work"]
+from .executor import Attempt, Executor, Request, Transport
+
+__all__ = ["Attempt", "Executor", "Request", "Transport"]
--- a/saffronlane/flight/service.py
+++ b/saffronlane/flight/service.py
@@ -14,7 +14,8 @@
 
 from .. import dispatch as d
 from ..config import Config
-from ..engines import Executor, Work
+from ..engines import Executor
+from ..engines.flight import FlightLinks, Work
 from ..proto import flight_pb2 as flight
 from ..proto import flight_sql_pb2 as sql
 from ..proto.commands import SERVICE, packed
@@ -53,8 +54,8 @@
 class FlightFront:
     """Turns calls into requests of an Executor. `handlers` is what an `rpc.Server` serves."""
 
-    def __init__(self, config: Config, executor: Executor) -> None:
-        self._config, self._executor = config, executor
+    def __init__(self, config: Config, executor: Executor, links: FlightLinks) -> None:
+        self._config, self._executor, self._links = config, executor, links
         self._loop = asyncio.get_running_loop()
         self.sessions = Sessions(config.session_idle, config.sessions_most, self._loop.time)
         self._identifier = Identifier(config)
@@ -405,7 +406,7 @@
             poll = self._polls.get(nonce)
             for number in list(self._running.get(nonce, ())) + ([poll.request] if poll is not None else []):
                 cancelled = (
-                    self._executor.cancel_request(number, Status(Code.CANCELLED, "cancelled")) or cancelled
+                    self._links.cancel_request(number, Status(Code.CANCELLED, "cancelled")) or cancelled
                 )
         status = flight.CANCEL_STATUS_CANCELLED if cancelled else flight.CANCEL_STATUS_NOT_CANCELLABLE
         return flight.CancelFlightInfoResult(status=status).SerializeToString()
--- /dev/null
+++ b/saffronlane/platform/node.py
@@ -0,0 +1,171 @@
+"""One node: dispatcher, front, links, feed and peers, from the start to the last answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from pathlib import Path
+from random import Random
+
+import structlog
+
+from .. import dispatch as d
+from ..engines import Executor
+from ..interface import PeerMessage
+from ..peers import Peers
+from .config import ConfigError, Members, NodeConfig, load
+from .feed import Feed
+from .fleet import Fleet
+from .front import Front
+from .links import LinkLimits, Links
+
+log = structlog.get_logger()
+LOOSE = 24  # descriptors for all but clients and compute nodes
+NODE_SHARE = 0.25  # of the descriptors, for compute nodes
+STILL_COMING = 1.0  # seconds after SIGTERM in which requests may come
+QUIET = 0.3  # seconds without a new one until the end
+REPORT_EVERY = 5.0
+LAG_STEP = 0.05
+CONNECT_TIMEOUT, IDLE_CLOSE = 0.25, 30.0  # seconds, where the settings tell none
+
+
+class Node:
+    """One dispatcher process. `start`, then `run` until it has ended."""
+
+    def __init__(self, config: NodeConfig, path: Path | None = None) -> None:
+        self.config, self._path = config, path
+        self._loop = asyncio.get_running_loop()
+        settings = config.settings
+        self.fleet = Fleet(settings, self._loop.time, time.time)
+        self.dispatcher = d.Dispatcher(settings, config.seed)
+        nodes = int(config.sockets * NODE_SHARE)
+        limits = LinkLimits(
+            max_streams=settings.limits.max_streams,
+            connect_timeout=settings.limits.connect_timeout or CONNECT_TIMEOUT,
+            idle_close=settings.limits.idle_close or IDLE_CLOSE,
+            most_links=nodes,
+        )
+        self.links = Links(limits, self.fleet.address)
+        self.peers: Peers | None = None
+        if settings.limits.peers and config.peer_listen is not None:
+            self.peers = Peers(
+                config.peer_listen, config.peers, settings.position, self._on_peer, config.peers_all
+            )
+        self.executor = Executor(self.dispatcher, self.links, self.peers.send if self.peers else None)
+        self.front = Front(self.executor, settings, config.sockets - nodes - LOOSE, self._well)
+        self.feed = Feed(config.feed, config.last, self._on_members, Random(config.seed))
+        self._ending: asyncio.Task[None] | None = None
+        self._report_at = self._lag = 0.0
+        self._reports: asyncio.TimerHandle | None = None
+        self.ended = asyncio.Event()
+
+    def _well(self) -> bool:
+        return len(self.fleet) > 0 and self._ending is None
+
+    def _on_members(self, members: Members) -> None:
+        update, gone = self.fleet.take(members)
+        self.executor.feed(update)
+        for engine in gone:
+            self.links.forget_engine(engine)
+        log.info("list", revision=members.revision, complete=members.complete, nodes=len(self.fleet))
+
+    def _on_peer(self, sender: int, data: bytes) -> None:
+        self.executor.feed(PeerMessage(sender, data))
+
+    def start(self) -> None:
+        """Listen. OSError where the address cannot be had."""
+        for members in self.config.known:
+            self._on_members(members)
+        self.front.listen(self.config.listen)
+        if self.peers is not None:
+            self.peers.start()
+        self.feed.start()
+        self._report_at = self._loop.time()
+        self._watch_lag()
+        log.info("listening", host=self.config.listen[0], port=self.front.port, name=self.config.name)
+
+    def reload(self) -> None:
+        """Read the file again and follow the feed where it is now. What cannot be read changes nothing."""
+        if self._path is None:
+            return
+        try:
+            config = load(self._path)
+        except ConfigError as error:
+            log.error("configuration kept as it was", why=str(error))
+            return
+        log.info("configuration read again", feed=config.feed)
+        self.feed.move(config.feed)
+
+    def stop(self) -> None:
+        """Take what still comes, give every answer, end. A second call ends at once."""
+        if self._ending is None:
+            log.info("stopping", owed=self.dispatcher.owed)
+            self._ending = self._loop.create_task(self._finish())
+        else:
+            self.ended.set()
+
+    async def _finish(self) -> None:
+        began = self._loop.time()
+        while True:
+            await asyncio.sleep(0.02)
+            now = self._loop.time()
+            coming = now < began + STILL_COMING or now < self.front.last_taken + QUIET
+            if not coming and not self.dispatcher.owed and not self.front.unwritten:
+                break
+        self.ended.set()
+
+    async def run(self) -> None:
+        await self.ended.wait()
+        self.close()
+        log.info("ended", taken=self.front.taken)
+
+    def close(self) -> None:
+        if self._reports is not None:
+            self._reports.cancel()
+        if self._ending is not None:
+            self._ending.cancel()
+        self.feed.close()
+        if self.peers is not None:
+            self.peers.close()
+        self.front.close()
+        self.executor.close()
+
+    def _watch_lag(self) -> None:
+        """How late the loop runs what is due: a lag here must not be taken for slow nodes."""
+        now = self._loop.time()
+        if self._reports is not None:
+            self._lag = max(self._lag, now - self._reports.when())
+        if now >= self._report_at + REPORT_EVERY:
+            self._report_at = now
+            gateway = self.dispatcher.gateway
+            log.info(
+                "report",
+                lag_ms=round(self._lag * 1000.0, 1),
+                cpu_s=round(time.process_time(), 2),
+                clients=len(self.front.clients),
+                taken=self.front.taken,
+                faults=self.front.faults,
+                owed=self.dispatcher.owed,
+                held=self.dispatcher.held,
+                out=self.dispatcher.attempts_out,
+                crowd=round(gateway.crowd, 2),
+                ill=sum(engine.ill for engine in gateway.ready),
+                ready=len(gateway.ready),
+            )
+            self._lag = 0.0
+        self._reports = self._loop.call_later(LAG_STEP, self._watch_lag)
+
+
+async def serve(config: NodeConfig, path: Path) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    import signal
+
+    node = Node(config, path)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stop)
+    node.start()
+    with contextlib.suppress(asyncio.CancelledError):
+        await node.run()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -285,8 +285,8 @@
 
 def test_peers_tell_each_other(tmp_path: Path) -> None:
     from saffronlane.config import parse_config
-    from saffronlane.daemon import Peers
     from saffronlane.lab.up import PLAIN
+    from saffronlane.peers import Peers
 
     def free() -> int:
         import socket
@@ -307,7 +307,13 @@
             "peers": {"listen": addresses[position], "addresses": addresses},
         }
         config = parse_config(raw, "x", tmp_path)
-        return Peers(config, lambda sender, data: heard[position].append((sender, data)))
+        assert config.peer_listen is not None
+        return Peers(
+            config.peer_listen,
+            config.peer_addresses,
+            position,
+            lambda sender, data: heard[position].append((sender, data)),
+        )
 
     async def work() -> None:
         three = [peers(n) for n in range(3)]
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -10,7 +10,8 @@
 
 from saffronlane import dispatch as d
 from saffronlane import interface as api
-from saffronlane.engines import Executor, ExecutorLimits, Work, orca
+from saffronlane.engines import Executor, orca
+from saffronlane.engines.flight import ExecutorLimits, FlightLinks, Work
 from saffronlane.engines.outcomes import NEVER_RAN, Verdict, classify
 from saffronlane.engines.pool import PoolLimits
 from saffronlane.http2 import ErrorCode
@@ -114,11 +115,8 @@
             self.port = sockets[0].getsockname()[1]
             self.server.listen(sockets)
         pool = limits.pop("pool", PoolLimits(connect_timeout=0.3))
-        self.executor = Executor(
-            self.core,
-            ExecutorLimits(pool=pool, cancel_wait=limits.pop("cancel_wait", 0.3), **limits),
-            lambda _: ("127.0.0.1", self.port),
-        )
+        bounds = ExecutorLimits(pool=pool, cancel_wait=limits.pop("cancel_wait", 0.3), **limits)
+        self.executor = Executor(self.core, FlightLinks(bounds, lambda _: ("127.0.0.1", self.port)))
         entry = api.EngineEntry(b"engine", api.EngineState.READY)
         self.executor.feed(api.ListUpdate(api.ListMode.FULL, 1, (entry,)))
 
