A break of a connection counts once and is no restart; one unseen takes nothing new

Ruled out: dead nodes (none crashed), load (crowd under 1 while 90 requests were held). Wrong: Gateway.judge, which weighed each attempt of one connection as a failure of its own and took any answer after a break for a restart; _Link.takes, which asked a closed stream for its buffer.

--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -365,6 +365,9 @@
             if event.mode is not api.ListMode.DELTA:
                 self._engines.clear()
             self._engines.update({e.engine: e for e in event.entries})
+            for entry in event.entries:  # of one that has gone nothing stays: new ones come for ever
+                if entry.state is api.EngineState.GONE:
+                    del self._engines[entry.engine]
             self._version = event.version
             self._recall()
         return [event]
--- a/saffronlane/platform/front.py
+++ b/saffronlane/platform/front.py
@@ -364,12 +364,16 @@
             self._pause()
 
     def _make_room(self) -> bool:
-        """Close the connection that is missed least: one that has never spoken, else the longest idle."""
+        """Close the connection that is missed least: one that has never spoken, else the longest idle.
+
+        Where one has never spoken but is new, nobody has to go yet: its first request may be on its way.
+        """
         before = self._loop.time() - FRESH
-        for client in self.clients:
-            if not client.spoke and client.since < before:
-                client.close()
-                return True
+        mute = next((client for client in self.clients if not client.spoke), None)
+        if mute is not None:
+            if mute.since < before:
+                mute.close()
+            return mute.closed
         idle = [c for c in self.clients if not c.open and not c.unwritten and c.quiet_since < before]
         if idle:
             min(idle, key=lambda c: c.quiet_since).close()
--- a/saffronlane/platform/links.py
+++ b/saffronlane/platform/links.py
@@ -30,6 +30,9 @@
 AHEAD = 8  # pages asked for at once: a result is about that many
 MOST_UNSENT = 262_144  # bytes that a node may leave unread before its connection takes nothing more
 MOST_ABANDONED = 512  # requests given up on one connection; past it, it is left for a new one
+SPREAD = (
+    2  # connections to a node in use: a break takes half of what is out, and the rest tells that it lives
+)
 STALL = 0.5  # seconds that an answer may stand half written: nodes write one at once
 IDLE_SHARE = 0.7  # of the time after which nodes close idle connections, when ours close
 LOOK_EVERY = 0.25
@@ -146,8 +149,10 @@
         return bool(self.open or self.probes)
 
     def takes(self, request_id: bytes, most: int) -> bool:
+        # The stream knows of a break before the reader's turn comes: its write buffer is gone by then.
         return not (
             self.closed
+            or self._stream.closed()
             or self.retired
             or len(self.open) >= most
             or request_id in self.open
@@ -173,7 +178,12 @@
         try:
             self._stream.write(b"".join(data for _, data in out))
         except (StreamClosedError, StreamBufferFullError) as error:
-            self.end(repr(error))
+            # None of these has left. Answers that came before the break are still the reader's to take.
+            for sent, _ in out:
+                if sent is not None and not sent.left_at:
+                    self.owner.ended(sent, Outcome.CONNECT_FAILED)
+            if isinstance(error, StreamBufferFullError):
+                self.end(repr(error))
             return
         now = self.loop.time()
         for sent, _ in out:
@@ -229,6 +239,8 @@
 
     def end(self, why: str) -> None:
         """Close, and tell of each attempt what its bytes prove."""
+        if not self.closed:
+            self._flush()  # an abort is still worth sending; a write that fails comes back here
         if self.closed:
             return
         self.closed = True
@@ -238,8 +250,6 @@
             )
         self.owner.dropped(self)
         self._stream.close()
-        # The abort that is written last and what is in `_out` go down with the connection, which gives up
-        # all that is open on it.
         for sent in list(self.open.values()):
             self.owner.ended(sent, Outcome.RESET if sent.left_at else Outcome.CONNECT_FAILED)
         for tag, since in self.probes.items():
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -54,12 +54,14 @@
 LAPSE_GAP = 0.05  # seconds between looks for lapsed queries; every batch would cost too much when many wait
 HOUSEKEEPING = 0.15  # seconds between wakes while queries are held or the list is to be asked for
 ASK_GAP = 0.5  # seconds before a failed subscription is tried again: the list service may be overloaded
+RELINKED = 0.25  # seconds after a break in which no process comes back, unless a connection was refused
 SURVIVED = 0.1  # seconds after a break at which an answer to earlier work is no longer one still on its way
 # --- health ---
 FAIL_STEP, HARD_FAIL_STEP = 0.2, 0.5  # least weight of an outcome; of a break or silence: two condemn
 FAIL_MEMORY = 10.0  # seconds after which what was known of an engine weighs little against a new outcome
 ILL, WELL = 0.5, 0.2  # failure share at which an engine is left alone, and under which it is back
 ILL_SHARE = 0.5  # with more than this share of engines ill the verdict is distrusted: the cause is elsewhere
+GONE_MOST = 32  # engines gone that are remembered, the latest; one that comes back later counts as new
 TRIAL_GAP, TRIAL_GAP_MOST = 0.4, 3.0  # seconds between trials of an ill engine; doubled while trials fail
 TRIAL_SHARE, TRIAL_CREDIT = 0.2, 3.0  # trials per send, and at once: many ill engines must not take all
 SILENT_NOTES = 1.1  # note periods without a word, and up to one more of calm run, until an attempt is lost
@@ -217,6 +219,12 @@
             for engine in self.engines.values():
                 if engine.id not in named:
                     engine.state = EngineState.GONE
+        gone = [e for e in self.engines.values() if e.state is EngineState.GONE and not e.out]
+        for engine in gone[
+            : max(0, len(gone) - GONE_MOST)
+        ]:  # where engines are ever new, the old must not stay
+            del self.engines[engine.id]
+            self.marks.pop(messages.engine_mark(engine.id), None)
         self.orders.clear()
         self.ready = [e for e in self.engines.values() if e.state is EngineState.READY]
         self.cores = sum(e.cores for e in self.ready)
@@ -624,7 +632,7 @@
         suspected = max(engine.broke_at, engine.reborn_at)
         if outcome is Outcome.OK and attempt.sent < suspected < self.now - SURVIVED:
             engine.broke_at = engine.reborn_at = -math.inf  # it kept what it had: a link broke, no process
-        self.judge(engine, outcome)
+        self.judge(engine, outcome, attempt.sent)
         threads = self.take_report(engine, event.report)
         if outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
@@ -676,15 +684,18 @@
 
     # --- health ---
 
-    def judge(self, engine: Engine, outcome: Outcome) -> None:
+    def judge(self, engine: Engine, outcome: Outcome, sent: float) -> None:
         """Keep the engine's failure share; condemn and acquit with hysteresis."""
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             engine.heard = self.now
-            if engine.broke_at > -math.inf:  # it answers again after breaking: it may have restarted unseen
-                engine.reborn_at, engine.broke_at = engine.broke_at, -math.inf
+            relinked = sent <= engine.broke_at + RELINKED and not engine.refused
+            if engine.broke_at > -math.inf and not relinked:  # it answers again: it may have restarted unseen
+                engine.reborn_at = engine.broke_at
+            engine.broke_at, engine.refused = -math.inf, False
         if outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
-            engine.broke_at = self.now
-            self.weigh(engine, HARD_FAIL_STEP, 1.0)
+            if engine.broke_at < self.now:  # all that one connection carried breaks at once: it is one break
+                self.weigh(engine, HARD_FAIL_STEP, 1.0)
+            engine.broke_at, engine.refused = self.now, engine.refused or outcome is Outcome.CONNECT_FAILED
         elif outcome is Outcome.ERROR:  # a time-out says that time ran out, not that the engine failed
             self.weigh(engine, FAIL_STEP, 1.0)
         elif outcome is Outcome.OK:  # one answer disproves silence; a share of failures has to wear off
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -82,6 +82,7 @@
         self.fails = 0.0  # decayed share of failures
         self.ill = self.silent = False
         self.broke_at = self.reborn_at = -math.inf  # signs that the process may have restarted unseen
+        self.refused = False  # a connection, since it broke
         self.next_trial, self.trial_gap = -math.inf, 0.0
 
     def loading(self, tables: float) -> bool:
