An error blames its engine only once another serves the request; floods leave nobody unheard

Ruled out: load (crowd 1.2). Wrong: Front._make_room, which paused accepting while a new silent connection stood before idle ones; Gateway.judge, which took every error for its engine's fault; HARD_FAIL_STEP 0.5 with ILL 0.5, where one break and any residue condemned though two were meant.

--- a/saffronlane/platform/front.py
+++ b/saffronlane/platform/front.py
@@ -32,10 +32,11 @@
 MOST_PARTIAL = 8_388_608  # bytes of unfinished messages over all connections
 MOST_UNREAD = 1_048_576  # bytes of answers that a client may leave unread
 FIRST_WAIT = 2.0  # seconds for the first whole message, and for the rest of one that has begun
-IDLE = 8.0  # seconds without an open request; clients close theirs after 4
+IDLE = 5.0  # seconds without an open request; clients close theirs after 4
 FAULTS_MOST = 8  # messages that are wrong until the connection is closed
 PENALTY = 0.25  # seconds that a connection is not read after one
 FRESH = 0.05  # seconds that a new connection is safe from making room for others
+LATELY = 0.5  # seconds for which an idle connection is safe from it
 LOOK_EVERY, ACCEPT_PAUSE = 0.25, 0.02
 SHED, FAULT = "Shed", "Fault"
 _ID = re.compile(r"[0-9a-f]{16}")
@@ -366,18 +367,19 @@
     def _make_room(self) -> bool:
         """Close the connection that is missed least: one that has never spoken, else the longest idle.
 
-        Where one has never spoken but is new, nobody has to go yet: its first request may be on its way.
+        Not one that is new, whose first request may be on its way, nor one idle for but a moment.
         """
-        before = self._loop.time() - FRESH
-        mute = next((client for client in self.clients if not client.spoke), None)
-        if mute is not None:
-            if mute.since < before:
-                mute.close()
-            return mute.closed
-        idle = [c for c in self.clients if not c.open and not c.unwritten and c.quiet_since < before]
-        if idle:
-            min(idle, key=lambda c: c.quiet_since).close()
-        return bool(idle)
+        now = self._loop.time()
+        for client in self.clients:
+            if not client.spoke and client.since < now - FRESH:
+                client.close()
+                return True
+        idle = [c for c in self.clients if c.spoke and not c.open and not c.unwritten]
+        longest = min(idle, key=lambda c: c.quiet_since, default=None)
+        if longest is None or longest.quiet_since > now - LATELY:
+            return False
+        longest.close()
+        return True
 
     def submit(self, asked: Asked, reply: _Reply) -> int:
         self.taken += 1
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -57,7 +57,7 @@
 RELINKED = 0.25  # seconds after a break in which no process comes back, unless a connection was refused
 SURVIVED = 0.1  # seconds after a break at which an answer to earlier work is no longer one still on its way
 # --- health ---
-FAIL_STEP, HARD_FAIL_STEP = 0.2, 0.5  # least weight of an outcome; of a break or silence: two condemn
+FAIL_STEP, HARD_FAIL_STEP = 0.2, 0.4  # least weight of an outcome; of a break or silence: two condemn
 FAIL_MEMORY = 10.0  # seconds after which what was known of an engine weighs little against a new outcome
 ILL, WELL = 0.5, 0.2  # failure share at which an engine is left alone, and under which it is back
 ILL_SHARE = 0.5  # with more than this share of engines ill the verdict is distrusted: the cause is elsewhere
@@ -633,6 +633,7 @@
         if outcome is Outcome.OK and attempt.sent < suspected < self.now - SURVIVED:
             engine.broke_at = engine.reborn_at = -math.inf  # it kept what it had: a link broke, no process
         self.judge(engine, outcome, attempt.sent)
+        self.blame(job, attempt)
         threads = self.take_report(engine, event.report)
         if outcome is Outcome.OK:
             elapsed = sane(event.elapsed, 1e-4, 1e4)
@@ -696,8 +697,6 @@
             if engine.broke_at < self.now:  # all that one connection carried breaks at once: it is one break
                 self.weigh(engine, HARD_FAIL_STEP, 1.0)
             engine.broke_at, engine.refused = self.now, engine.refused or outcome is Outcome.CONNECT_FAILED
-        elif outcome is Outcome.ERROR:  # a time-out says that time ran out, not that the engine failed
-            self.weigh(engine, FAIL_STEP, 1.0)
         elif outcome is Outcome.OK:  # one answer disproves silence; a share of failures has to wear off
             self.weigh(engine, 1.0 if engine.silent else FAIL_STEP, 0.0)
         if not engine.ill and engine.fails > ILL:
@@ -710,6 +709,19 @@
             engine.trial_gap = min(engine.trial_gap * 2.0, TRIAL_GAP_MOST)
             self.put_off_trial(engine)
 
+    def blame(self, job: Job, attempt: Attempt) -> None:
+        """An error is its engine's once another serves the request, or if none may; else maybe the request's.
+
+        Guards against requests that no engine can run: a flood of them would condemn the whole fleet. Harmful
+        where an engine errs on all that it gets and no request is tried again.
+        """
+        guilty = [a.engine for a in job.attempts if a.outcome is Outcome.ERROR]
+        alone = attempt.outcome is Outcome.ERROR and len(job.attempts) == 1 and self.expired(job)
+        for engine in guilty if attempt.outcome is Outcome.OK or alone else ():
+            self.weigh(engine, FAIL_STEP, 1.0)
+            if not engine.ill and engine.fails > ILL:
+                self.condemn(engine, "failing")
+
     def weigh(self, engine: Engine, least: float, failed: float) -> None:
         """An outcome weighs more the longer nothing was known: one of many gateways hears seldom."""
         fresh = 1.0 - math.exp(max(engine.judged - self.now, -1e3) / FAIL_MEMORY)
