--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -142,6 +142,11 @@
         """Attempts whose end has not been told, those of ended requests included."""
         return sum(len(r.out) for r in self._requests.values())
 
+    @property
+    def engines(self) -> list[bytes]:
+        """Those that are listed."""
+        return list(self._engines)
+
     @property
     def held(self) -> int:
         """Requests that wait for an engine."""
--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -100,8 +100,6 @@
     def forgotten(self, attempt: Attempt) -> None:
         """The ledger has dropped it."""
 
-    def engine_names(self) -> list[bytes]: ...
-
     def close(self) -> None: ...
 
 
@@ -303,7 +301,7 @@
 
     def _say(self, effect: api.Log) -> None:
         text = effect.text
-        for engine in self.transport.engine_names():  # the module knows engines by the bytes of their names
+        for engine in self.dispatcher.engines:  # the module knows engines by the bytes of their names
             text = text.replace(engine.hex(), engine.decode("utf-8", "replace"))
         log.info("decision", text=text)
 
--- a/saffronlane/engines/flight.py
+++ b/saffronlane/engines/flight.py
@@ -193,9 +193,6 @@
         if engine in self._pools:
             self._pools[engine].close_idle()
 
-    def engine_names(self) -> list[bytes]:
-        return list(self._pools)
-
     def forgotten(self, attempt: Attempt) -> None:
         if self._address(attempt.engine) is None:  # it went from the list while this ran
             self.forget_engine(attempt.engine)
--- a/saffronlane/platform/links.py
+++ b/saffronlane/platform/links.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import math
-import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -36,7 +35,7 @@
 STALL = 0.5  # seconds that an answer may stand half written: nodes write one at once
 IDLE_SHARE = 0.7  # of the time after which nodes close idle connections, when ours close
 LOOK_EVERY = 0.25
-_ROWS = re.compile(rb"(?:[^\t\n]*+\t[^\t\n]*+\t[^\t\n]*+\n)*+")
+_CONTENTS = bytes(byte for byte in range(256) if byte not in b"\t\n")
 
 
 class Client(Protocol):
@@ -116,8 +115,9 @@
 
 
 def _check_page(page: bytes) -> None:
-    """Whole rows of three columns, as text."""
-    if len(page) > MOST_PAGE or not _ROWS.fullmatch(page):
+    """Whole rows of three columns, as text. What is left of them without the columns' contents tells."""
+    marks = page.translate(None, _CONTENTS)
+    if len(page) > MOST_PAGE or marks != b"\t\t\n" * (len(marks) // 3) or page[-1:] not in (b"\n", b""):
         raise _Spoilt("a page that is no whole rows")
     try:
         page.decode()
@@ -365,9 +365,6 @@
             if not link.busy:
                 link.end("idle")
 
-    def engine_names(self) -> list[bytes]:
-        return list(self._links)
-
     def forgotten(self, attempt: Attempt) -> None:
         if self._address(attempt.engine) is None:
             self.forget_engine(attempt.engine)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -923,3 +923,28 @@
         timeout=20,
     )
     assert done.returncode == 2 and "/listen" in done.stderr and len(done.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize(
+    ("page", "good"),
+    [
+        (b"", True),
+        (b"\t\t\n", True),
+        (b"a\tb\tc\nd\te\tf\n", True),
+        (b"a\tb\tc", False),
+        (b"a\tb\tc\nd", False),
+        (b"a\tb\n", False),
+        (b"a\tb\tc\td\n", False),
+        (b"a\tb\tc\td\ne\tf\n", False),  # as many tabs and ends as two rows have
+        (b"a\n\tb\tc", False),
+        (b"\xc3\x28\t\t\n", False),
+        (b"a\tb\t" + b"c" * 6000 + b"\n", False),
+    ],
+)
+def test_a_page_is_whole_rows_of_three_columns(page: bytes, good: bool) -> None:
+    try:
+        links_module._check_page(page)
+    except links_module._Spoilt:
+        assert not good
+    else:
+        assert good
