--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -129,7 +129,6 @@
     max_retry_after: float = 0.0
     connect_timeout: float = 0.0
     max_streams: int = 0
-    idle_close: float = 0.0  # seconds; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/params.py
+++ b/saffronlane/params.py
@@ -205,7 +205,6 @@
             max_retry_after=params.number("limits.maxRetryAfter", 0.0),
             connect_timeout=params.number("limits.connectTimeout", 0.0),
             max_streams=int(params.number("limits.maxStreams", 0)),
-            idle_close=params.number("limits.idleClose", 0.0),
         ),
         grants_heeded=params.flag("extra.grantsCount"),
         priorities_heeded=params.flag("extra.ranksHeeded"),
--- a/saffronlane/platform/config.py
+++ b/saffronlane/platform/config.py
@@ -86,6 +86,7 @@
     last: int  # number of the last event that is known
     known: tuple[Members, ...]
     settings: Settings
+    idle_close: float  # seconds after which nodes close idle connections; 0: not told
 
 
 def address(text: str, pointer: str) -> Address:
@@ -114,7 +115,8 @@
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"/: {error}") from None
     try:
-        settings = params.read_settings(params.Params.of_object(file.settings))
+        told = params.Params.of_object(file.settings)
+        settings, idle_close = params.read_settings(told), told.number("limits.idleClose", 0.0)
     except params.SettingsError as error:
         raise ConfigError(f"/settings/{error.path.replace('.', '/')}: {error}") from None
     except (ValueError, OverflowError) as error:
@@ -139,6 +141,7 @@
         last=max([file.known.n, *(event.n or 0 for event in file.known.events)]),
         known=tuple(event.members for event in file.known.events if event.members is not None),
         settings=settings,
+        idle_close=idle_close,
     )
 
 
--- a/saffronlane/platform/node.py
+++ b/saffronlane/platform/node.py
@@ -43,7 +43,7 @@
         limits = LinkLimits(
             max_streams=settings.limits.max_streams,
             connect_timeout=settings.limits.connect_timeout or CONNECT_TIMEOUT,
-            idle_close=settings.limits.idle_close or IDLE_CLOSE,
+            idle_close=config.idle_close or IDLE_CLOSE,
             most_links=nodes,
         )
         self.links = Links(limits, self.fleet.address)
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -112,9 +112,7 @@
 def test_a_configuration_is_read() -> None:
     config = parse(raw(peers=["10.0.0.1:1", "10.0.0.2:2"], peers_all="10.0.0.255:3"))
     assert config.last == 1 and config.peers[1] == ("10.0.0.2", 2) and config.peers_all == ("10.0.0.255", 3)
-    assert (
-        config.settings.limits.idle_close == 30.0 and config.settings.classes[2].effect is api.Effect.UNSAFE
-    )
+    assert config.idle_close == 30.0 and config.settings.classes[2].effect is api.Effect.UNSAFE
 
 
 @pytest.mark.parametrize(
