--- a/saffronlane/platform/node.py
+++ b/saffronlane/platform/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 import time
 from pathlib import Path
 from random import Random
@@ -152,6 +153,7 @@
                 "report",
                 lag_ms=round(self._lag * 1000.0, 1),
                 cpu_s=round(time.process_time(), 2),
+                memory_mb=_resident_mb(),
                 clients=len(self.front.clients),
                 taken=self.front.taken,
                 faults=self.front.faults,
@@ -172,6 +174,15 @@
         self._reports = self._loop.call_later(LAG_STEP, self._watch_lag)
 
 
+def _resident_mb() -> float:
+    """0 where the system does not tell."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return round(pages * resource.getpagesize() / 1e6, 1)
+
+
 async def serve(config: NodeConfig, path: Path) -> None:
     """Run a node until SIGTERM or SIGINT."""
     import signal
