Only served requests widen the ration of further attempts

Each such request was counted as taken, failed on every node, and was sent up to three times: the ration grew by a fifth of the flood, and the flood's own repeats used it. What the rule counts are usual clients' requests. Ruled out as the main cause: late connections alone (a fortieth of the window, inside the rule's slack). Lines at fault: Gateway.on_arrival counted at arrival; extra_allowed took the window as of the send, not of the arrival at the node. Now a request counts once an engine served it, by the time it came, and an attempt counts from when it left until it may have arrived at the latest. Harmful where most requests fail: then there are fewer repeats.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -182,7 +182,7 @@
         self.held: dict[int, Job] = {}
         self.backlog: float | None = None  # thread seconds held; summed once a batch, when first asked for
         self.turns = Turns()  # rule 5
-        self.taken, self.extras = Window(), Window()  # rule 7: arrivals and further attempts
+        self.taken, self.extras = Window(), Window()  # rule 7: arrivals of the served, further attempts
         self.distrust = self.asked = False
         self.trial_credit, self.blocked = TRIAL_CREDIT, False  # the last release found no room for a query
         self.next_lapse = self.next_ask = self.cold_until = -math.inf
@@ -417,12 +417,16 @@
     # --- release and refusal ---
 
     def extra_allowed(self, job: Job) -> bool:
-        """Rule 7: a sliding window over arrivals and further attempts, checked at each of the latter."""
-        rules = self.rules
+        """Rule 7: a sliding window over served requests and further attempts, checked at each of the latter.
+
+        Only what was served widens it: of all else nothing tells that a usual client sent it. An attempt may
+        wait for its connection, so it counts from when it left until it may have come at the latest.
+        """
+        rules, slack = self.rules, self.settings.tick + self.limits.connect_timeout
         if len(job.attempts) <= job.earlier or rules.budget_free is None:
             return True
-        taken = self.taken.count_since(self.now - rules.budget_window + self.settings.tick)
-        extras = self.extras.count_since(self.now - rules.budget_window - self.settings.tick)
+        taken = self.taken.count_since(self.now - rules.budget_window + slack)
+        extras = self.extras.count_since(self.now - rules.budget_window - slack)
         return extras + 1 <= rules.budget_free + rules.budget_ratio * taken
 
     def open(self, job: Job) -> bool:
@@ -568,8 +572,6 @@
         job.over = self.over_allowance(event.tenant)
         if event.earlier is not None:
             job.attempts.append(self.earlier(job, event.earlier))
-        self.taken.append(self.now)
-        self.taken.count_since(self.now - self.rules.budget_window - self.settings.tick)
         self.jobs[job.id] = job
         self.turns.join(job)
         self.timer(job.limit - END_MARGIN, job)
@@ -647,6 +649,9 @@
         if job.ended:
             self.turns.leave(job)
         elif event.final or outcome is Outcome.OK:
+            if outcome is Outcome.OK:
+                self.taken.put(job.arrival)
+                self.taken.count_since(self.now - self.rules.budget_window)
             self.finish(job, answer=False)
         elif not job.out:
             if outcome is not Outcome.CANCELLED and engine.id not in job.avoid:
--- a/saffronlane/state.py
+++ b/saffronlane/state.py
@@ -50,6 +50,13 @@
 class Window(deque[float]):
     """Times in order, of which the old ones are forgotten."""
 
+    def put(self, time: float) -> None:
+        """Add one that may be older than the latest."""
+        place = len(self)
+        while place and self[place - 1] > time:
+            place -= 1
+        self.insert(place, time)
+
     def count_since(self, time: float) -> int:
         while self and self[0] <= time:
             self.popleft()
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 from conftest import LOOKUP, Driver, engine_id, make_settings, one_class
@@ -275,6 +276,50 @@
     assert 0 < extra <= 3 + 0.2 * len(requests)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_the_ration_holds_where_it_is_counted_whoever_asks_and_however_late(seed: int) -> None:
+    """The rule counts attempts as they arrive at engines, against what usual clients asked.
+
+    Guards against requests of bad clients, which parse, fail on every engine and were counted as taken: they
+    widened the ration that their own repeats then used.
+    """
+    random, wait = Random(seed), 0.25
+    guarantees = api.Guarantees(budget_free=3.0, budget_ratio=0.2, budget_window=10.0)
+    limits = api.Limits(cancel=True, second_copies=True, max_attempts=3, connect_timeout=wait)
+    driver = Driver(make_settings(guarantees=guarantees, limits=limits), engines=12, seed=seed)
+    usual: list[float] = []
+    extras: list[float] = []
+    out: list[tuple[float, int, int, bool]] = []  # end, request, attempt, of a bad client
+    bad: set[int] = set()
+    tries: dict[int, int] = {}
+    while driver.now < 140.0:
+        flood, before = random.random() < 0.05, len(driver.actions)
+        driver.pass_time(driver.now + random.expovariate(12.0))
+        for _ in range(random.randrange(10, 60) if flood else 1):
+            request = driver.ask(tables=float(random.randrange(9)))
+            if flood:
+                bad.add(request)
+            else:
+                usual.append(driver.now)
+            if random.random() < 0.1:
+                driver.step(api.ClientGone(request))
+        for end, request, attempt, is_bad in sorted(out):
+            if end <= driver.now:
+                out.remove((end, request, attempt, is_bad))
+                fails = is_bad or random.random() < 0.2
+                driver.end(request, Outcome.ERROR if fails else Outcome.OK, attempt, work=0.1)
+        for send in (action for action in driver.actions[before:] if isinstance(action, api.Send)):
+            attempt = tries[send.request] = tries.get(send.request, -1) + 1
+            arrived = driver.now + random.choice((0.0, random.uniform(0.0, wait)))
+            out.append((arrived + random.uniform(0.01, 0.4), send.request, attempt, send.request in bad))
+            if attempt:
+                extras.append(arrived)
+    assert len(extras) > 30
+    for at in extras:
+        sent = sum(at - 10.0 < other <= at for other in extras)
+        assert sent <= 3 + 0.2 * sum(at - 10.0 < asked <= at for asked in usual)
+
+
 # --- settings that make no sense ---
 
 
