An idle connection to a node makes room when connections run short

Need: a quarter of the descriptors is for connections to nodes; with more nodes than that, each node once used kept its own until it had been idle for 21 s, and attempts at one more ended MOOT, as if the node had no address (test log: attempt 1 and 2 of one request, elapsed 0.0, outcome MOOT). Lines at fault: Links._link returned None at the cap. Now the connection idle longest closes first. Only where all are busy does an attempt still go elsewhere. Test: 24 nodes over 16 connections; fails without the fix.

--- a/saffronlane/platform/links.py
+++ b/saffronlane/platform/links.py
@@ -307,7 +307,7 @@
         link.write(command(b"fetch", statement.id, b",".join(fields), statement.body), attempt)
 
     def _link(self, engine: bytes, request_id: bytes) -> _Link | None:
-        """The least busy connection that may carry it, or a new one; None: the node has no address."""
+        """The least busy connection that may carry it, or a new one; None: no address, or no room."""
         address = self._address(engine)
         if address is None:
             return None
@@ -319,13 +319,25 @@
         able = [link for link in links if link.takes(request_id, most)]
         if able:
             return min(able, key=lambda link: (not link.up, len(link.open)))
-        if self._count >= self.limits.most_links:
+        if self._count >= self.limits.most_links and not self._make_room():
             return None
         link = _Link(self, engine, address)
         self._links.setdefault(engine, []).append(link)  # a link that retires may just have emptied the entry
         self._count += 1
         return link
 
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle longest.
+
+        Guards against more nodes than connections: each node once used would keep its own until it has been
+        idle for long, and an attempt at one more would find no way there.
+        """
+        idle = [link for links in self._links.values() for link in links if not link.busy]
+        longest = min(idle, key=lambda link: link.idle_since, default=None)
+        if longest is not None:
+            longest.end("room for another")
+        return longest is not None
+
     def cancel(self, attempt: Attempt) -> None:
         assert isinstance(attempt, _Sent)
         self._give_up(attempt, Outcome.CANCELLED)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -547,6 +547,23 @@
     play(work, settings=SETTINGS | {"limits": limits})
 
 
+def test_more_nodes_than_connections_are_all_reached() -> None:
+    """Guards against an attempt that ends as if its node had no address, for idle connections fill up."""
+
+    async def work(built: World) -> None:
+        told = outcomes(built)
+        client = await built.client()
+        for n in range(60):
+            msgid = client.call("ask", rid(n), b"SELECT 1 FROM s_%d.t" % n)
+            assert await client.answer(msgid) == (None, [ROWS, {}])
+        links = built.node.links
+        assert sum(bool(compute.heard) for compute in built.computes) > links.limits.most_links
+        assert links._count <= links.limits.most_links
+        assert told == [Outcome.OK] * 60
+
+    play(work, *[answer] * 24, limits={"cores": 1.0, "memory_mb": 32, "sockets": 64})
+
+
 def test_elapsed_runs_from_the_write_to_the_last_byte() -> None:
     """Guards against taking our own wait for a connection for a slow node."""
     spans: list[float] = []
