Every heavy query is told in a fleet of any size; an engine that is full is told too

At most 128 told queries were open at once: 530 threads of heavy work went untold. Nodes were full for each dispatcher anew. Lines at fault: Gateway.tell returned past TOLD_MOST (a limit for time, set where two or three tell); on_ended kept a rejection to itself. Now 4,096, which bounds memory; and a rejection is told once per half a second of an engine, received ones count for up to a second, drawn by each. Tests: 230 senders; a rejection seen by one. Both fail without the change.

--- a/saffronlane/messages.py
+++ b/saffronlane/messages.py
@@ -1,4 +1,4 @@
-"""What one gateway tells the others: the format of a message, 9 bytes for a start and 2 for an end.
+"""What one gateway tells the others: a message's format, 9 bytes for a start or a full engine, 2 for an end.
 
 It lives beside the interface as wire code does; what is told, when and what follows is up to `rules.py`.
 """
@@ -16,7 +16,7 @@
 
 
 class Message(NamedTuple):
-    """A query that its sender has started, or (span 0) that has ended."""
+    """A query that its sender has started, or (span 0) that has ended; no threads: an engine that is full."""
 
     number: int
     threads: int = 0
@@ -26,6 +26,10 @@
     memory_share: float = 0.0
     engine: bytes = b""  # mark of the engine's id
 
+    @property
+    def tells_full(self) -> bool:
+        return not self.threads and self.span > 0.0
+
 
 def engine_mark(engine: bytes) -> bytes:
     return blake2b(engine, digest_size=3).digest()
--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -72,7 +72,7 @@
 TOLD_THREADS_PER_CORE = 2.0  # own and told threads past which heavy queries wait; the design's value
 TOLD_MEMORY = 0.85  # of an engine's memory that own and told grants may fill; the rest is for untold queries
 HEAVY = 2.0  # a query of more than this x the mean work is told: each message costs all gateways time
-TOLD_MOST = 128  # told queries open at once, loads apart: taking in more would cost too much time
+TOLD_MOST = 4096  # told queries open at once, loads apart: past all that engines should run; bounds memory
 TOLD_PATIENCE = 3.0  # what has no end told counts for this x its expected span: a message may be lost
 SENDERS_MOST = 2  # senders up to this x the gateway count are known: it may be a little out of date
 NEWS = (api.PeerMessage, api.Note, api.ProbeResult)  # held queries look for room at the next wake
@@ -401,16 +401,26 @@
         self.next_told = attempt.told = (self.next_told + 1) % 256
         span = TOLD_PATIENCE * self.work(job) / job.cls.threads * self.learned[job.index].best
         share = attempt.grant / engine.memory_size if engine.memory_size else 0.0
-        what = (round(attempt.threads), job.cls.is_load, messages.tables_mark(job.tables))
+        what = (max(1, round(attempt.threads)), job.cls.is_load, messages.tables_mark(job.tables))
         start = messages.Message(attempt.told, *what, span, share, messages.engine_mark(engine.id))
         self.actions.append(api.Tell(None, messages.encode(start)))
 
+    def tell_full(self, engine: Engine) -> None:
+        """Spare the others a rejection each. Guards against herds of all at an engine that is full."""
+        if self.limits.peers:
+            full = messages.Message(0, span=FULL_MEMORY, engine=messages.engine_mark(engine.id))
+            self.actions.append(api.Tell(None, messages.encode(full)))
+
     def on_peer(self, event: api.PeerMessage) -> None:
         message, sender = messages.decode(event.data), event.sender
         if message is None or not 0 <= sender < SENDERS_MOST * self.settings.gateways:
             return
-        self.told.forget((sender, message.number))  # ended, or the sender counts anew after a restart
         engine = self.marks.get(message.engine)
+        if message.tells_full:
+            if engine is not None:  # all come back, each at a time of its own
+                engine.full = max(engine.full, self.now + self.random.random() * FULL_MEMORY)
+            return
+        self.told.forget((sender, message.number))  # ended, or the sender counts anew after a restart
         if message.span and engine is not None and sender != self.settings.position:
             self.told.add((sender, message.number), self.now + message.span, engine, message)
 
@@ -645,6 +655,8 @@
             self.learned[job.index].cut_short(job, sane(event.elapsed))
         if outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
             self.feel(PRESSED * 2.0)
+            if outcome is Outcome.REJECTED and engine.full <= self.now - FULL_MEMORY / 2.0:
+                self.tell_full(engine)
             engine.full = self.now
         if job.ended:
             self.turns.leave(job)
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -148,9 +148,10 @@
 # --- what gateways tell each other ---
 
 
-def telling(position: int) -> Driver:
-    heavy = (LOOKUP, replace(REPORT, is_load=True))
-    driver = Driver(make_settings(gateways=3, position=position, limits=PEERS, classes=heavy), engines=6)
+def telling(position: int, loads: bool = True) -> Driver:
+    heavy = (LOOKUP, replace(REPORT, is_load=loads))
+    settings = make_settings(gateways=3, position=position, limits=PEERS, classes=heavy)
+    driver = Driver(settings, engines=6, seed=position)
     for _ in range(20):
         driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
     return driver
@@ -188,6 +189,42 @@
     assert receiver.gateway.told.threads == 0.0
 
 
+def test_a_fleet_at_work_tells_every_heavy_query() -> None:
+    """Guards against a limit on what is told that the fleet passes: the most loaded moment went untold."""
+    driver = telling(1, loads=False)
+    driver.gateway.settings = replace(driver.gateway.settings, gateways=230)
+    engines = list(driver.gateway.engines)
+    for sender in range(2, 232):
+        for number in range(4):
+            told = messages.Message(number, 3, False, 7, 20.0, 0.0, messages.engine_mark(engines[number]))
+            driver.step(api.PeerMessage(sender, messages.encode(told)))
+    assert driver.gateway.told.threads == 3.0 * 4 * 230
+    assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1
+
+
+def test_what_one_gateway_finds_full_the_others_pass_by_for_a_while() -> None:
+    """Guards against a rejection for each of many gateways, and against their all coming back at one time."""
+    drivers = [telling(n) for n in range(3)]
+    first = drivers[0].ask(tables=4.0)
+    full = drivers[0].sends(first)[0].engine
+    before = len(drivers[0].of_kind(api.Tell))
+    drivers[0].end(first, Outcome.REJECTED, elapsed=0.001)
+    told = drivers[0].of_kind(api.Tell)[before:]
+    assert [messages.decode(t.data).tells_full for t in told] == [True]
+    until = set()
+    for driver in drivers[1:]:
+        driver.step(api.PeerMessage(0, told[0].data))
+        assert driver.sends(driver.ask(tables=4.0))[0].engine != full
+        until.add(driver.gateway.engines[full].full)
+        driver.now += 2.0 * rules.FULL_MEMORY + 0.01
+        assert full in {driver.sends(driver.ask(tables=4.0))[0].engine for _ in range(4)}
+    assert len(until) == 2
+    second = drivers[0].ask(tables=4.0)
+    if drivers[0].sends(second)[0].engine == full:  # told already
+        drivers[0].end(second, Outcome.REJECTED, elapsed=0.001)
+    assert len(drivers[0].of_kind(api.Tell)) == before + 1
+
+
 START = messages.encode(messages.Message(1, 4, True, 7, 2.0, 0.5, messages.engine_mark(engine_id(0))))
 
 
