The largest queries fit a half-free engine; the bar for telling rises past 512 open

Need: (1) a query whose grant passes 0.85 of an engine's memory never fitted anywhere, also where engines were empty: its class is refused whole where grants may be that large. Line at fault: Gateway.fits compared the grant with the part that told grants may fill. Now half of that part is enough where others' grants are known. (2) with some hundreds of nodes a limit of 4,096 told queries would let messages take a tenth of each core: past 512 open at once only heavier ones are told, in proportion; a flat cut-off would go blind in the most loaded moment. Tests: both fail without the change.

--- a/saffronlane/rules.py
+++ b/saffronlane/rules.py
@@ -72,7 +72,7 @@
 TOLD_THREADS_PER_CORE = 2.0  # own and told threads past which heavy queries wait; the design's value
 TOLD_MEMORY = 0.85  # of an engine's memory that own and told grants may fill; the rest is for untold queries
 HEAVY = 2.0  # a query of more than this x the mean work is told: each message costs all gateways time
-TOLD_MOST = 4096  # told queries open at once, loads apart: past all that engines should run; bounds memory
+TOLD_MANY = 512  # told queries open at once past which the bar rises: each message costs all gateways time
 TOLD_PATIENCE = 3.0  # what has no end told counts for this x its expected span: a message may be lost
 SENDERS_MOST = 2  # senders up to this x the gateway count are known: it may be a little out of date
 NEWS = (api.PeerMessage, api.Note, api.ProbeResult)  # held queries look for room at the next wake
@@ -346,7 +346,9 @@
             return False
         if engine.memory_size and (told or engine.memory):
             room = engine.memory_size * (TOLD_MEMORY if told else MEMORY_SHARE / self.settings.gateways)
-            if self.terms(job)[0] > room - engine.memory - engine.told_memory:
+            # One of many gateways never sees an engine empty: half of the room is enough for the largest.
+            need = min(self.terms(job)[0], room / 2.0) if told else self.terms(job)[0]
+            if need > room - engine.memory - engine.told_memory:
                 return False
         return self.cold_room(engine, job)
 
@@ -395,8 +397,9 @@
 
     def tell(self, attempt: Attempt) -> None:
         job, engine = attempt.job, attempt.engine
-        many = len(self.told.entries) >= TOLD_MOST and not job.cls.is_load
-        if many or not self.limits.peers or not self.heavy(job):
+        bar = len(self.told.entries) / TOLD_MANY * HEAVY * self.usual()[0]
+        light = self.work(job) < bar and not job.cls.is_load
+        if light or not self.limits.peers or not self.heavy(job):
             return
         self.next_told = attempt.told = (self.next_told + 1) % 256
         span = TOLD_PATIENCE * self.work(job) / job.cls.threads * self.learned[job.index].best
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -200,6 +200,29 @@
             driver.step(api.PeerMessage(sender, messages.encode(told)))
     assert driver.gateway.told.threads == 3.0 * 4 * 230
     assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1
+    known = driver.gateway.learned[1]
+    known.works = known.calm = rules.HEAVY * 1.01 * driver.gateway.usual()[0] * rules.SEED_ANSWERS
+    assert driver.gateway.heavy(driver.gateway.jobs[driver.next_request])
+    assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1  # heavy, but least so of many
+
+
+def test_a_query_that_needs_all_memory_of_an_engine_is_served_while_half_is_free() -> None:
+    """Guards against a class that never fits: its grant passes the part that own and told grants may fill."""
+    driver = telling(1, loads=False)
+    driver.gateway.settings = replace(driver.gateway.settings, grants_heeded=True)
+    engines = list(driver.gateway.engines)
+
+    def tell(share: float, number: int) -> None:
+        for engine in engines:
+            told = messages.Message(number, 1, False, 7, 20.0, share, messages.engine_mark(engine))
+            driver.step(api.PeerMessage(0, messages.encode(told)))
+            number += 1
+
+    assert driver.sends(driver.ask(cls=1, memory_mb=16384.0))
+    tell(0.35, 1)
+    assert driver.sends(driver.ask(cls=1, memory_mb=16384.0))
+    tell(0.35, 101)
+    assert not driver.sends(driver.ask(cls=1, memory_mb=16384.0))
 
 
 def test_what_one_gateway_finds_full_the_others_pass_by_for_a_while() -> None:
