--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -203,7 +203,7 @@
     known = driver.gateway.learned[1]
     known.works = known.calm = rules.HEAVY * 1.01 * driver.gateway.usual()[0] * rules.SEED_ANSWERS
     assert driver.gateway.heavy(driver.gateway.jobs[driver.next_request])
-    assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1  # heavy, but least so of many
+    assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1  # the lightest of many
 
 
 def test_a_query_that_needs_all_memory_of_an_engine_is_served_while_half_is_free() -> None:
