Messages of peers are read together, once in 50 ms; the lag is looked at four times a second

Each datagram was one turn of the loop, one wait and one step of the dispatcher. They are news for later decisions only (rules.NEWS), so they may wait and be taken in as one step. Also: the loop's lag was looked at 20 times a second on each node, with nothing else to do there. Lines at fault: Peers.datagram_received, one wake a message; node.LAG_STEP. The socket is bound at the start now, so that an address that cannot be had ends the start and not a task that nobody waits for. Test: a hundred messages at once are one turn of the loop; fails without the change.

--- a/saffronlane/peers.py
+++ b/saffronlane/peers.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Sequence
 
 Address = tuple[str, int]
+GATHER = 0.05  # seconds in which messages gather: they are news for later decisions, and each wake costs
+MOST_AT_ONCE = 1024  # read in one turn of the loop; a flood of more waits in the socket or is lost there
 
 
-class Peers(asyncio.DatagramProtocol):
+class Peers:
     """The gateway's ear and mouth among its peers.
 
+    What hundreds of gateways tell wakes each of them once in GATHER, not once a message.
+
     Args:
         listen: where messages come in.
         addresses: of all gateways by position, this one among them.
@@ -31,32 +36,60 @@
     ) -> None:
         self._listen, self._addresses, self._position = listen, tuple(addresses), position
         self._on_message, self._to_all = on_message, to_all
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
         self._positions = {address: n for n, address in enumerate(self._addresses)}
-        self._task: asyncio.Task[object] | None = None
+        self._gathering: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._task = loop.create_task(loop.create_datagram_endpoint(lambda: self, local_addr=self._listen))
+        """Listen. OSError where the address cannot be had."""
+        family = socket.AF_INET6 if ":" in self._listen[0] else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(self._listen)
+        asyncio.get_running_loop().add_reader(self._socket, self._on_readable)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport  # type: ignore[assignment]
+    def _on_readable(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._socket is not None:
+            loop.remove_reader(self._socket)
+        self._gathering = loop.call_later(GATHER, self._read)
 
-    def datagram_received(self, data: bytes, addr: Address) -> None:
-        sender = self._positions.get(addr)
-        if sender is not None and sender != self._position and len(data) <= self.MOST:
-            self._on_message(sender, data)
+    def _read(self) -> None:
+        if self._socket is None:
+            return
+        for _ in range(MOST_AT_ONCE):
+            try:
+                data, address = self._socket.recvfrom(self.MOST + 1)
+            except BlockingIOError:
+                break
+            except OSError:  # an earlier message found nobody; what follows is still to be read
+                continue
+            sender = self._positions.get(address)
+            if sender is not None and sender != self._position and len(data) <= self.MOST:
+                self._on_message(sender, data)
+        asyncio.get_running_loop().add_reader(self._socket, self._on_readable)
 
     def send(self, peer: int | None, data: bytes) -> None:
-        if self._transport is None or len(data) > self.MOST:
+        if self._socket is None or len(data) > self.MOST:
             return
         if peer is None and self._to_all is not None:
-            self._transport.sendto(data, self._to_all)
+            self._write(self._socket, data, self._to_all)
             return
         for position, address in enumerate(self._addresses):
             if position != self._position and peer in (None, position):
-                self._transport.sendto(data, address)
+                self._write(self._socket, data, address)
+
+    @staticmethod
+    def _write(to: socket.socket, data: bytes, address: Address) -> None:
+        try:
+            to.sendto(data, address)
+        except OSError:  # no room, or nobody there: a message may be lost
+            return
 
     def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        if self._gathering is not None:
+            self._gathering.cancel()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
--- a/saffronlane/platform/node.py
+++ b/saffronlane/platform/node.py
@@ -27,7 +27,7 @@
 STILL_COMING = 1.0  # seconds after SIGTERM in which requests may come
 QUIET = 0.3  # seconds without a new one until the end
 REPORT_EVERY = 5.0
-LAG_STEP = 0.05
+LAG_STEP = 0.25  # seconds; each is a wake with nothing to do, on every node of a fleet
 CONNECT_TIMEOUT, IDLE_CLOSE = 0.25, 30.0  # seconds, where the settings tell none
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -338,6 +338,44 @@
     assert heard == [[], [(0, b"to all")], [(0, b"to all"), (1, b"to one")]]
 
 
+def test_what_many_peers_tell_wakes_a_gateway_once_in_a_while() -> None:
+    """Guards against a wake for each message: hundreds of gateways tell hundreds of them a second."""
+    import socket
+
+    from saffronlane import peers
+
+    async def work() -> None:
+        heard: list[bytes] = []
+        after_one_turn: list[int] = []
+        loop = asyncio.get_running_loop()
+
+        def on_message(sender: int, data: bytes) -> None:
+            if not heard:
+                loop.call_soon(lambda: after_one_turn.append(len(heard)))
+            heard.append(data)
+
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as told,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe,
+        ):
+            told.bind(("127.0.0.1", 0))
+            probe.bind(("127.0.0.1", 0))
+            listen = probe.getsockname()
+            probe.close()
+            one = peers.Peers(listen, (listen, told.getsockname()), 0, on_message)
+            one.start()
+            for n in range(100):
+                told.sendto(b"%d" % n, listen)
+            await _until(lambda: len(heard) == 100)
+            assert after_one_turn == [100]
+            told.sendto(b"more", listen)  # and it goes on listening
+            await _until(lambda: len(heard) == 101)
+            one.close()
+            one.close()
+
+    asyncio.run(asyncio.wait_for(work(), 10.0))
+
+
 async def _until(true: Callable[[], bool]) -> None:
     while not true():
         await asyncio.sleep(0.005)
