A peers' address that is taken is tried again and ends no gateway

Need: since messages are read together, the socket is bound at the start; an address still held for a moment after a restart would have refused the start. Now it is logged and tried again each second. Test: an address that is taken, then free; fails without the change (OSError).

--- a/saffronlane/peers.py
+++ b/saffronlane/peers.py
@@ -6,8 +6,12 @@
 import socket
 from collections.abc import Callable, Sequence
 
+import structlog
+
+log = structlog.get_logger()
 Address = tuple[str, int]
 GATHER = 0.05  # seconds in which messages gather: they are news for later decisions, and each wake costs
+RETRY = 1.0  # seconds until the next try to listen
 MOST_AT_ONCE = 1024  # read in one turn of the loop; a flood of more waits in the socket or is lost there
 
 
@@ -38,21 +42,29 @@
         self._on_message, self._to_all = on_message, to_all
         self._socket: socket.socket | None = None
         self._positions = {address: n for n, address in enumerate(self._addresses)}
-        self._gathering: asyncio.TimerHandle | None = None
+        self._later: asyncio.TimerHandle | None = None  # the next read, or the next try to listen
 
     def start(self) -> None:
-        """Listen. OSError where the address cannot be had."""
+        """Listen; where the address cannot be had, say so and try again: a gateway serves without peers too."""
         family = socket.AF_INET6 if ":" in self._listen[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind(self._listen)
-        asyncio.get_running_loop().add_reader(self._socket, self._on_readable)
+        bound = socket.socket(family, socket.SOCK_DGRAM)
+        bound.setblocking(False)
+        loop = asyncio.get_running_loop()
+        try:
+            bound.bind(self._listen)
+        except OSError as error:
+            bound.close()
+            log.error("peers are not heard", listen=self._listen, why=str(error))
+            self._later = loop.call_later(RETRY, self.start)
+            return
+        self._socket = bound
+        loop.add_reader(bound, self._on_readable)
 
     def _on_readable(self) -> None:
         loop = asyncio.get_running_loop()
         if self._socket is not None:
             loop.remove_reader(self._socket)
-        self._gathering = loop.call_later(GATHER, self._read)
+        self._later = loop.call_later(GATHER, self._read)
 
     def _read(self) -> None:
         if self._socket is None:
@@ -87,8 +99,8 @@
             return
 
     def close(self) -> None:
-        if self._gathering is not None:
-            self._gathering.cancel()
+        if self._later is not None:
+            self._later.cancel()
         if self._socket is not None:
             asyncio.get_running_loop().remove_reader(self._socket)
             self._socket.close()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -376,6 +376,38 @@
     asyncio.run(asyncio.wait_for(work(), 10.0))
 
 
+def test_an_address_for_peers_that_is_taken_does_not_end_the_gateway(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A gateway that starts anew may find it taken for a moment; it serves, and listens when it can."""
+    import socket
+
+    from saffronlane import peers
+
+    monkeypatch.setattr(peers, "RETRY", 0.02)
+
+    async def work() -> None:
+        heard: list[bytes] = []
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as told,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder,
+        ):
+            told.bind(("127.0.0.1", 0))
+            holder.bind(("127.0.0.1", 0))
+            listen = holder.getsockname()
+            addresses = (listen, told.getsockname())
+            one = peers.Peers(listen, addresses, 0, lambda sender, data: heard.append(data))
+            one.start()
+            one.send(None, b"nobody")
+            holder.close()
+            await _until(lambda: one._socket is not None)
+            told.sendto(b"now", listen)
+            await _until(lambda: heard == [b"now"])
+            one.close()
+
+    asyncio.run(asyncio.wait_for(work(), 10.0))
+
+
 async def _until(true: Callable[[], bool]) -> None:
     while not true():
         await asyncio.sleep(0.005)
