--- a/saffronlane/peers.py
+++ b/saffronlane/peers.py
@@ -45,7 +45,7 @@
         self._later: asyncio.TimerHandle | None = None  # the next read, or the next try to listen
 
     def start(self) -> None:
-        """Listen; where the address cannot be had, say so and try again: a gateway serves without peers too."""
+        """Listen; where the address cannot be had, say so and try again: it serves without peers too."""
         family = socket.AF_INET6 if ":" in self._listen[0] else socket.AF_INET
         bound = socket.socket(family, socket.SOCK_DGRAM)
         bound.setblocking(False)
