--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -17,6 +17,7 @@
 
 from saffronlane import dispatch as d
 from saffronlane import interface as api
+from saffronlane import messages
 from saffronlane.dispatch.journal import Journal, replay
 from saffronlane.interface import Effect, EngineState, Outcome
 from saffronlane.knowledge import Ledger, Memory, Moment, Recall, What, between, weigh
@@ -508,7 +509,11 @@
     life.pass_time(1.0)
     after = life.killed()
     after.engines(4)
+    for n, engine in enumerate(after.core.gateway.engines):  # others hold so much that only a small need fits
+        told = messages.Message(n, 1, False, 0, 40.0, 0.6, messages.engine_mark(engine))
+        after.step(api.PeerMessage(1, messages.encode(told)))
     held = after.submit(memory_mb=100.0)
+    assert not after.sends(held)
     for _ in range(12):
         after.pass_time(1.0)
         held = after.submit(memory_mb=100.0)
