--- a/benchmarks/step.py
+++ b/benchmarks/step.py
@@ -51,7 +51,7 @@
 def held(engines: int, number: int) -> float:
     """Milliseconds a step while so many queries are held."""
     core = fleet(engines, 1)
-    core.gateway.limit = 20.0
+    core.gateway.pressure.limit = 20.0
     core.step(1.0, [d.Submit(core.new_request(), n % 2, 30.0) for n in range(number)])
     began = time.perf_counter()
     for n in range(20):
--- a/saffronlane/__init__.py
+++ b/saffronlane/__init__.py
@@ -1,6 +1,6 @@
 """The decisions of a query gateway; see `interface` and `rules`."""
 
-from .rules import Gateway
+from .policy import Gateway
 
 __all__ = ["Gateway", "__version__"]
 __version__ = "0.2.0"
--- a/saffronlane/benchlink.py
+++ b/saffronlane/benchlink.py
@@ -1,4 +1,4 @@
-"""Adapter between the simulator's wire and `rules.Gateway`: it translates and decides nothing.
+"""Adapter between the simulator's wire and `policy.Gateway`: it translates and decides nothing.
 
 Batches come on standard input, one reply a batch leaves on standard output. Each instance has a
 Gateway of its own; they share no state.
@@ -16,7 +16,7 @@
 
 from . import interface as api
 from . import params
-from .rules import Gateway
+from .policy import Gateway
 
 EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE, HEADER_SIZE = 56, 32, 24, 16
 ALL_PEERS = 0xFFFFFFFF
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -1,6 +1,6 @@
 """The dispatcher: keeps the ledger of requests and attempts, and turns decisions into effects.
 
-`rules.Gateway` decides. This class sees to it that what is decided can be carried out without a slip: one
+`policy.Gateway` decides. This class sees to it that what is decided can be carried out without a slip: one
 final answer for each request, no result of an attempt that was given up, timers, and nothing after the end.
 It holds no socket, task, clock or global: `step` takes the time and what happened, and returns what to do.
 The same inputs at the same times give the same effects, which is how a recorded day is played again.
@@ -16,7 +16,7 @@
 
 from .. import interface as api
 from ..knowledge import PATIENCE, Keeper, Memory
-from ..rules import Gateway
+from ..policy import Gateway
 from ..state import NEVER_RAN
 from ..storage import Change
 from . import effects as fx
@@ -55,7 +55,7 @@
     """One gateway's core. Two of them share nothing.
 
     Args:
-        settings: as `rules.Gateway` takes them.
+        settings: as `policy.Gateway` takes them.
         seed: of every random draw.
         record: is told each step's time, inputs and effects (see `dispatch.journal`).
         memory: what an earlier run left in a folder; None: nothing is known.
@@ -150,7 +150,7 @@
     @property
     def held(self) -> int:
         """Requests that wait for an engine."""
-        return len(self.gateway.held)
+        return len(self.gateway.owed.held)
 
     def step(self, now: float, inputs: list[inp.Input]) -> list[fx.Effect]:
         """Take in all that happened up to `now`, in order; return what to do, in order.
--- a/saffronlane/interface.py
+++ b/saffronlane/interface.py
@@ -1,6 +1,6 @@
 """The public face of saffronlane: settings, events and actions of one gateway.
 
-A dispatcher builds a `Settings`, hands batches of events to `rules.Gateway.step` and carries out
+A dispatcher builds a `Settings`, hands batches of events to `policy.Gateway.step` and carries out
 the actions it returns. Times are seconds on the dispatcher's own monotonic clock, memory is in MB,
 work is the seconds that one thread would take. Nothing here decides anything.
 """
--- a/saffronlane/knowledge/export.py
+++ b/saffronlane/knowledge/export.py
@@ -1,11 +1,12 @@
-"""What a gateway knows, as entries to keep. Reads `rules.Gateway`; changes nothing."""
+"""What a gateway knows, as entries to keep. Reads `policy.Gateway`; changes nothing."""
 
 from __future__ import annotations
 
 import math
 
 from .. import interface as api
-from ..rules import Gateway, Learned
+from ..policy import Gateway
+from ..policy.learning.learned import Learned
 from ..state import Engine
 from . import weigh
 from .kept import NEVER, BudgetKept, ClassKept, EngineKept, FleetKept, OrderKept, ToldKept, class_mark
@@ -20,7 +21,7 @@
 def classes(gateway: Gateway, recalled: dict[int, float], scatters: list[float]) -> dict[bytes, ClassKept]:
     """Each class of which an answer is known. `recalled`: answers that earlier knowledge stood for."""
     found = {}
-    for index, known in enumerate(gateway.learned):
+    for index, known in enumerate(gateway.classes.learned):
         kept = _class(gateway, known, recalled.get(index, 0.0), scatters[index])
         if kept is not None:
             found[known.cls.name.encode()] = kept
@@ -38,8 +39,8 @@
     if mass < 0.5 or not estimates > 0.0 or min(latencies, works, calm) <= 0.0:
         return None
     return ClassKept(
-        mark=class_mark(gateway.settings, known.cls),
-        at=gateway.now,
+        mark=class_mark(gateway.batch.settings, known.cls),
+        at=gateway.batch.now,
         mass=mass,
         count=known.count,
         cost=known.told,
@@ -53,7 +54,7 @@
 
 
 def engine(gateway: Gateway, one: Engine, seen: float) -> EngineKept:
-    cold = gateway.coldness(one) > 0.0
+    cold = one.coldness(gateway.batch.now, gateway.batch.rules.cold_time) > 0.0
     return EngineKept(
         cores=one.cores,
         zone=one.zone,
@@ -79,27 +80,27 @@
 
 def budget(gateway: Gateway) -> BudgetKept | None:
     """Rule 7's window; None where no budget is set."""
-    rules = gateway.rules
+    rules = gateway.batch.rules
     if rules.budget_free is None:
         return None
-    since = gateway.now - rules.budget_window - 2.0 * gateway.settings.tick
+    since = gateway.batch.now - rules.budget_window - 2.0 * gateway.batch.settings.tick
     bins: dict[int, int] = {}
-    for at in gateway.taken:
+    for at in gateway.answers.permits.ration.taken:
         if at > since:
             number = math.floor(at / BIN)
             bins[number] = bins.get(number, 0) + 1
-    extras = [at for at in gateway.extras if at > since]
+    extras = [at for at in gateway.answers.permits.ration.extras if at > since]
     return BudgetKept(extras, [(number * BIN, count) for number, count in bins.items()])
 
 
 def orders(gateway: Gateway) -> dict[bytes, OrderKept]:
     """Ordering keys with an attempt out, or at rest."""
     found = {}
-    for job in {a.job for a in gateway.attempts.values()}:
+    for job in {a.job for a in gateway.own.attempts.values()}:
         if job.cls.ordered and job.key:
             found[order_name(job.key)] = OrderKept(True, 0.0)
-    for key, until in gateway.turns.rests.items():
-        if until > gateway.now and order_name(key) not in found:
+    for key, until in gateway.owed.turns.rests.items():
+        if until > gateway.batch.now and order_name(key) not in found:
             found[order_name(key)] = OrderKept(False, until)
     return found
 
@@ -109,28 +110,28 @@
 
 
 def fleet(gateway: Gateway) -> FleetKept:
-    limit = gateway.limit if gateway.limit < 1e9 else 0.0
-    recent = gateway.recent
+    limit = gateway.pressure.limit if gateway.pressure.limit < 1e9 else 0.0
+    recent = gateway.own.recent
     return FleetKept(
-        gateway.now,
-        past(gateway.born),
+        gateway.batch.now,
+        past(gateway.batch.born),
         limit,
-        gateway.crowd,
+        gateway.pressure.crowd,
         recent.value,
         past(recent.at),
-        gateway.mean_reported,
+        gateway.fleet.mean_reported,
     )
 
 
 def told(gateway: Gateway) -> ToldKept | None:
     """What other gateways told of, as far as it is not over."""
-    if not gateway.limits.peers:
+    if not gateway.batch.limits.peers:
         return None
     return ToldKept(
         [
             (sender, number, one.until, one.engine.id, one.threads, one.memory, one.loads)
-            for (sender, number), one in gateway.told.entries.items()
-            if one.until > gateway.now
+            for (sender, number), one in gateway.telling.board.entries.items()
+            if one.until > gateway.batch.now
         ]
     )
 
--- a/saffronlane/knowledge/forget.py
+++ b/saffronlane/knowledge/forget.py
@@ -11,7 +11,8 @@
 
 from msgspec.structs import replace
 
-from ..rules import Gateway, Learned
+from ..policy import Gateway
+from ..policy.learning.learned import Learned
 from ..storage import Change, Entry
 from . import kept as k
 
@@ -26,13 +27,13 @@
     """Begin anew with these, while it runs. ALL is not for a running gateway: ValueError."""
     for one in what:
         if one is What.CLASSES:
-            gateway.learned[:] = [Learned(cls) for cls in gateway.settings.classes]
-            gateway.limit, gateway.crowd = float("inf"), 1.0
+            gateway.classes.learned[:] = [Learned(cls) for cls in gateway.batch.settings.classes]
+            gateway.pressure.limit, gateway.pressure.crowd = float("inf"), 1.0
         elif one is What.ENGINES:
-            for engine in gateway.engines.values():
+            for engine in gateway.fleet.engines.values():
                 engine.fails, engine.judged, engine.full = 0.0, float("-inf"), float("-inf")
                 engine.ill = engine.silent = False
-            gateway.trust()
+            gateway.health.trust()
         else:
             raise ValueError("the ledgers of a running gateway are not forgotten")
 
--- a/saffronlane/knowledge/keeper.py
+++ b/saffronlane/knowledge/keeper.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from .. import interface as api
-from ..rules import Gateway
+from ..policy import Gateway
 from ..storage import Change, Entry
 from . import export
 from . import kept as k
@@ -107,36 +107,36 @@
     # --- as requests come and go ---
 
     def asked(self, gateway: Gateway, cls: int) -> None:
-        self.wash.asked(cls, gateway.now)
+        self.wash.asked(cls, gateway.batch.now)
 
     def unheard(self, gateway: Gateway) -> list[str]:
         """Words for the log on classes that were dropped because no answer came."""
-        return self.wash.unheard(gateway.learned, gateway.now) if self.wash.under_way else []
+        return self.wash.unheard(gateway.classes.learned, gateway.batch.now) if self.wash.under_way else []
 
     def answered(self, gateway: Gateway, cls: int, cost: float, elapsed: float, work: float) -> str:
         """One answer that was learned from; words for the log, or none."""
         self._scatters[cls].add(math.log(max(1e-6, work if work > 0.0 else elapsed) / (cost or 1.0)))
         if not self.wash.under_way:
             return ""
-        said = self.wash.answered(cls, gateway.learned[cls], cost or 1.0, elapsed, work)
+        said = self.wash.answered(cls, gateway.classes.learned[cls], cost or 1.0, elapsed, work)
         if said and self._recall is not None:
             self._recall.masses.pop(cls, None)
         return said
 
     def ahead(self, gateway: Gateway, request: int, attempt: int, identity: bytes) -> list[bytes]:
         """What must be on disk before an attempt leaves that the gateway has just sent: keys of entries."""
-        sent = gateway.attempts.get((request, attempt))
+        sent = gateway.own.attempts.get((request, attempt))
         if sent is None:
             return []
-        job, rules, found = sent.job, gateway.rules, []
+        job, rules, found = sent.job, gateway.batch.rules, []
         if identity and job.cls.effect is not api.Effect.SAFE:
-            self.ledger.sent(identity, job.cls, gateway.now, export.entry(sent.engine))
+            self.ledger.sent(identity, job.cls, gateway.batch.now, export.entry(sent.engine))
             found.append(k.SENT + identity)
         if job.cls.ordered and job.key:
             found.append(k.ORDER + export.order_name(job.key))
         if attempt and rules.budget_free is not None:
             found.append(k.BUDGET)
-        if rules.fall_multiple and gateway.coldness(sent.engine):
+        if rules.fall_multiple and sent.engine.coldness(gateway.batch.now, gateway.batch.rules.cold_time):
             found.append(k.ENGINE + sent.engine.id)
         return found
 
@@ -175,8 +175,8 @@
 
     def changes(self, gateway: Gateway) -> list[Change]:
         """All that has changed since the last look."""
-        self._next, self._touched = gateway.now + LAG, False
-        self.ledger.forget_until(gateway.now)
+        self._next, self._touched = gateway.batch.now + LAG, False
+        self.ledger.forget_until(gateway.batch.now)
         return self._differing(self._all(gateway))
 
     def entries(self, gateway: Gateway) -> tuple[tuple[bytes, Entry], ...]:
@@ -207,7 +207,7 @@
             if every or self._counts.get(one.mark) != one.count:
                 self._counts[one.mark] = one.count
                 found[k.CLASS + name] = one
-        for engine in gateway.engines.values():
+        for engine in gateway.fleet.engines.values():
             if engine.state is not api.EngineState.GONE:
                 found[k.ENGINE + engine.id] = export.engine(gateway, engine, self._seen(gateway))
         if self._recall is not None:
@@ -238,12 +238,12 @@
         if kind == k.ORDER:
             return k.OrderKept(True, 0.0)
         if kind == k.ENGINE:
-            return export.engine(gateway, gateway.engines[key[2:]], self._seen(gateway))
+            return export.engine(gateway, gateway.fleet.engines[key[2:]], self._seen(gateway))
         return export.budget(gateway)
 
     @staticmethod
     def _seen(gateway: Gateway) -> float:
-        return math.floor(gateway.now / SEEN) * SEEN
+        return math.floor(gateway.batch.now / SEEN) * SEEN
 
     def _differing(self, values: dict[bytes, k.Kept | None]) -> list[Change]:
         found = []
--- a/saffronlane/knowledge/recall.py
+++ b/saffronlane/knowledge/recall.py
@@ -11,7 +11,8 @@
 from msgspec.structs import replace
 
 from .. import interface as api
-from ..rules import SEED_ANSWERS, Gateway, Learned
+from ..policy import Gateway
+from ..policy.learning.learned import SEED_ANSWERS, Learned
 from ..state import Engine, Told
 from ..storage import Entry
 from . import export, weigh
@@ -120,30 +121,30 @@
 
     def begin(self, gateway: Gateway, ledger: Ledger) -> None:
         """Everything that needs no list of engines."""
-        gateway.now = gateway.born = self.now
+        gateway.batch.now = gateway.batch.born = self.now
         if self.trust.exact and self._fleet is not None:
-            gateway.born = self._time(self._fleet.born)  # the ledgers below show what was sent since
+            gateway.batch.born = self._time(self._fleet.born)  # the ledgers below show what was sent since
         self._take_ledgers(gateway, ledger)
         if (fleet := self._fleet) is not None:
             age = self._age(fleet.at)
-            gateway.limit = weigh.limit(fleet.limit, age)
-            if gateway.limit < math.inf:
-                gateway.crowd = max(1.0, min(fleet.crowd, 100.0))
-            gateway.recent.value, gateway.recent.at = fleet.lately, self._time(fleet.lately_at)
-        gateway.remembered = self._engine
+            gateway.pressure.limit = weigh.limit(fleet.limit, age)
+            if gateway.pressure.limit < math.inf:
+                gateway.pressure.crowd = max(1.0, min(fleet.crowd, 100.0))
+            gateway.own.recent.value, gateway.own.recent.at = fleet.lately, self._time(fleet.lately_at)
+        gateway.fleet.remembered = self._engine
 
     def attach(self, gateway: Gateway, ledger: Ledger) -> None:
         """Into a gateway that runs already: what rules stand on, and classes of which it knows nothing."""
         self._take_ledgers(gateway, ledger)
-        self.listed(gateway, tuple(map(export.entry, gateway.engines.values())))
+        self.listed(gateway, tuple(map(export.entry, gateway.fleet.engines.values())))
 
     def _take_ledgers(self, gateway: Gateway, ledger: Ledger) -> None:
         self._take_budget(gateway)
-        settle = gateway.rules.order_settle
+        settle = gateway.batch.rules.order_settle
         for key, one in self._orders.items():
             until = self.now + settle if one.open else min(one.until, self.now + settle)
             if until > self.now:
-                gateway.turns.rests[key] = max(until, gateway.turns.rests.get(key, -math.inf))
+                gateway.owed.turns.rests[key] = max(until, gateway.owed.turns.rests.get(key, -math.inf))
                 self.summary.orders += 1
         names = {c.name: c for c in self.settings.classes}
         for identity, sent in self._sent.items():
@@ -155,14 +156,15 @@
                 self.summary.requests += 1
 
     def _take_budget(self, gateway: Gateway) -> None:
-        if self._budget is None or gateway.rules.budget_free is None:
+        if self._budget is None or gateway.batch.rules.budget_free is None:
             return
-        since = self.now - gateway.rules.budget_window - 2.0 * gateway.settings.tick
-        extras = [*gateway.extras, *map(self._time, self._budget.extras)]
-        taken = list(gateway.taken)
+        ration = gateway.answers.permits.ration
+        since = self.now - gateway.batch.rules.budget_window - 2.0 * gateway.batch.settings.tick
+        extras = [*ration.extras, *map(self._time, self._budget.extras)]
+        taken = list(ration.taken)
         for start, count in self._budget.taken:
             taken += [self._time(start)] * min(count, MOST_TAKEN)
-        for window, times in ((gateway.extras, extras), (gateway.taken, taken)):
+        for window, times in ((ration.extras, extras), (ration.taken, taken)):
             window.clear()
             window.extend(sorted(at for at in times if at > since))
 
@@ -171,7 +173,7 @@
         kinds = self.settings.kinds
         listed = {e.engine: kinds[min(e.kind, len(kinds) - 1)].cores for e in entries}
         fleet = weigh.fleet_factor({name: e.cores for name, e in self._engines.items()}, listed)
-        for index, known in enumerate(gateway.learned):
+        for index, known in enumerate(gateway.classes.learned):
             one = self._classes.get(known.cls.name)
             if one is None or known.count:
                 continue
@@ -186,10 +188,10 @@
 
     def _share_counts(self, gateway: Gateway) -> None:
         """The mix of classes, by counts: small enough that a new mix soon shows."""
-        recalled = {i: self._classes[gateway.learned[i].cls.name].count for i in self.masses}
+        recalled = {i: self._classes[gateway.classes.learned[i].cls.name].count for i in self.masses}
         whole = sum(recalled.values())
         for index, count in recalled.items():
-            known = gateway.learned[index]
+            known = gateway.classes.learned[index]
             known.count = round(min(1.0, weigh.COUNT_MOST / max(1, whole)) * count)
             if self.masses[index] >= SEED_ANSWERS:  # enough is known to judge a query by
                 known.count = max(known.count, int(SEED_ANSWERS))
@@ -228,9 +230,9 @@
     def tell(self, gateway: Gateway) -> None:
         """What other gateways told, once the engines are known."""
         for sender, number, until, name, threads, memory, loads in self._told.entries if self._told else ():
-            engine = gateway.engines.get(name)
-            if engine is not None and until > self.now and (sender, number) not in gateway.told.entries:
-                gateway.told.put((sender, number), Told(until, engine, threads, memory, loads))
+            engine, board = gateway.fleet.engines.get(name), gateway.telling.board
+            if engine is not None and until > self.now and (sender, number) not in board.entries:
+                board.put((sender, number), Told(until, engine, threads, memory, loads))
         self._told = None
 
     def unlisted(self) -> dict[bytes, k.EngineKept]:
@@ -242,7 +244,7 @@
         return recent
 
 
-Sums = tuple[float, float, float, float]  # estimates, latencies, works, calm works, as in `rules.Learned`
+Sums = tuple[float, float, float, float]  # estimates, latencies, works, calm works, as in `Learned`
 
 
 def seed_sums(cls: api.ClassSettings, cost: float, answers: float) -> Sums:
--- a/saffronlane/knowledge/wash.py
+++ b/saffronlane/knowledge/wash.py
@@ -10,7 +10,7 @@
 import math
 from dataclasses import dataclass
 
-from ..rules import DECAY, Learned
+from ..policy.learning.learned import DECAY, Learned
 from . import weigh
 from .kept import ClassKept
 from .recall import Sums, recalled_sums, unteach
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class Scatter:
-    """How far the logarithms of one class's answers lie apart; the old ones fade as in `rules.Learned`."""
+    """How far the logarithms of one class's answers lie apart; the old ones fade as in `Learned`."""
 
     mean: float = 0.0
     square: float = 0.0
--- a/saffronlane/messages.py
+++ b/saffronlane/messages.py
@@ -1,6 +1,6 @@
 """What one gateway tells the others: a message's format, 9 bytes for a start or a full engine, 2 for an end.
 
-It lives beside the interface as wire code does; what is told, when and what follows is up to `rules.py`.
+It lives beside the interface as wire code does; what is told, when and what follows is up to `policy/`.
 """
 
 from __future__ import annotations
@@ -39,6 +39,14 @@
     return int.from_bytes(blake2b(repr(float(tables)).encode(), digest_size=2).digest(), "big")
 
 
+def start(
+    number: int, threads: float, loads: bool, tables: float, span: float, share: float, engine: bytes
+) -> Message:
+    """A query that its sender has started at an engine, named by its id."""
+    marks = tables_mark(tables), engine_mark(engine)
+    return Message(number, max(1, round(threads)), loads, marks[0], span, share, marks[1])
+
+
 def encode(message: Message) -> bytes:
     head = VERSION << 5 | message.is_load << 4 | min(15, message.threads)
     if not message.span:
--- a/saffronlane/platform/node.py
+++ b/saffronlane/platform/node.py
@@ -69,8 +69,8 @@
         self.executor.feed(update)
         for engine in gone:
             self.links.forget_engine(engine)
-        told = [f"{m.id} {m.phase} {m.up_since_ms:.0f}" for m in members.members if not members.complete]
-        log.info("list", revision=members.revision, nodes=len(self.fleet), changed=told)
+        changed = [f"{m.id} {m.phase} {m.up_since_ms:.0f}" for m in members.members if not members.complete]
+        log.info("list", revision=members.revision, nodes=len(self.fleet), changed=changed)
 
     def _on_peer(self, sender: int, data: bytes) -> None:
         self.executor.feed(PeerMessage(sender, data))
@@ -149,6 +149,7 @@
         if now >= self._report_at + REPORT_EVERY:
             self._report_at = now
             gateway = self.dispatcher.gateway
+            now, cold_time = gateway.batch.now, gateway.batch.rules.cold_time
             log.info(
                 "report",
                 lag_ms=round(self._lag * 1000.0, 1),
@@ -163,12 +164,12 @@
                 owed=self.dispatcher.owed,
                 held=self.dispatcher.held,
                 out=self.dispatcher.attempts_out,
-                crowd=round(gateway.crowd, 2),
-                ill=sum(engine.ill for engine in gateway.ready),
-                cold=sum(gateway.coldness(engine) > 0.0 for engine in gateway.ready),
-                ready=len(gateway.ready),
-                threads=round(gateway.threads, 1),
-                limit=round(min(gateway.limit, 1e6), 1),
+                crowd=round(gateway.pressure.crowd, 2),
+                ill=sum(engine.ill for engine in gateway.fleet.ready),
+                cold=sum(engine.coldness(now, cold_time) > 0.0 for engine in gateway.fleet.ready),
+                ready=len(gateway.fleet.ready),
+                threads=round(gateway.own.threads, 1),
+                limit=round(min(gateway.pressure.limit, 1e6), 1),
             )
             self._lag = 0.0
         self._reports = self._loop.call_later(LAG_STEP, self._watch_lag)
--- /dev/null
+++ b/saffronlane/policy/answering/__init__.py
@@ -0,0 +1,1 @@
+"""Final answers, attempts and their outcomes, repeats."""
--- /dev/null
+++ b/saffronlane/policy/learning/__init__.py
@@ -0,0 +1,1 @@
+"""What answers and reports teach: ExecTime, work, memory needed, load."""
--- /dev/null
+++ b/saffronlane/policy/placing/order.py
@@ -0,0 +1,28 @@
+"""Rendezvous hash order of engines for each table group."""
+
+from hashlib import blake2b
+
+from ...state import Batch, Engine, Fleet
+
+HOMES, CROSSING = 4, 0.03  # of a group's first, the own zone's lead where crossing costs so many points
+ORDERS_MOST = 4096  # hash orders remembered: table groups come from clients, and are without number
+
+
+class Order:
+    def __init__(self, batch: Batch, fleet: Fleet) -> None:
+        self.batch, self.fleet = batch, fleet
+        self.known: dict[tuple[float, int], list[Engine]] = {}  # of ready engines
+        self.crossing_costs = batch.settings.zone_price >= CROSSING
+
+    def __call__(self, tables: float, salt: int = 0) -> list[Engine]:
+        """Rendezvous hash order of ready engines for a table group; the same at every gateway."""
+        order = self.known.get((tables, salt))
+        if order is None:
+            name = repr((float(tables), salt)).encode()
+            order = sorted(self.fleet.ready, key=lambda e: blake2b(name + e.id, digest_size=8).digest())
+            if self.crossing_costs:  # of the first few, those of the own zone lead
+                order[:HOMES] = sorted(order[:HOMES], key=lambda e: e.zone != self.batch.settings.zone)
+            if len(self.known) >= ORDERS_MOST:
+                self.known.clear()
+            self.known[tables, salt] = order
+        return order
--- /dev/null
+++ b/saffronlane/policy/placing/place.py
@@ -0,0 +1,54 @@
+"""The choice among engines that have room."""
+
+from ...state import Engine, Job, OwnWork, ToldBoard
+from ..health.verdicts import Health
+from ..learning.reports import Reports
+from ..releasing.pressure import Pressure
+from .rooms import Rooms
+
+SPILL = 1.25  # an engine over this x mean load plus one query is passed by; the design's start value
+HORIZON = 10.0  # seconds that own sent work counts as load: where few queries are out, those tell nothing
+
+
+class Placement:
+    def __init__(self, reports: Reports, health: Health, told: ToldBoard) -> None:
+        self.reports, self.batch, self.fleet, self.told = reports, reports.batch, reports.fleet, told
+        self.rooms, self.own = Rooms(reports.classes, health), OwnWork(len(self.batch.settings.classes))
+        self.pressure = Pressure(self.own, reports)
+
+    def load(self, engine: Engine) -> float:
+        """Threads per core: own ones that are out or were lately kept busy, others' as told or reported."""
+        batch = self.batch
+        own = engine.threads + engine.recent.read(batch.now, HORIZON)
+        load = own + engine.told_threads + self.reports.of(engine) * engine.cores
+        load /= engine.warm_cores(batch.now, batch.rules)
+        away = self.rooms.order.crossing_costs and engine.zone != batch.settings.zone
+        return load * SPILL if away else load
+
+    def place(self, job: Job) -> Engine | None:
+        """The less loaded of the first two in hash order, moving on past SPILL; None: all are full."""
+        now, rules, fleet, usable = self.batch.now, self.batch.rules, self.fleet, self.rooms.usable
+        if not fleet.cores or not self.pressure.admits(job):
+            return None
+        threads, lately = self.own.threads + self.told.threads, self.own.recent.read(now, HORIZON)
+        for engine in fleet.ready if now < fleet.last_cold else ():  # turns are short
+            room = SPILL * engine.warm_cores(now, rules) / fleet.cores * threads + job.cls.threads
+            cold = engine.coldness(now, rules.cold_time) and engine.threads <= room  # else it would jam
+            if cold and next(usable(job, True, [engine]), None):
+                return engine
+        query = self.rooms.classes.work(job) / HORIZON
+        for strict in (True, False):
+            last = least = None
+            for engine in usable(job, strict):
+                best = engine if last is None else min(last, engine, key=self.load)
+                part = SPILL * best.warm_cores(now, rules) / fleet.cores
+                spare = best.threads + best.told_threads <= part * threads + job.cls.threads
+                most = SPILL * fleet.mean_reported + job.cls.threads / best.cores
+                spare = spare and self.reports.of(best) <= most
+                if last and spare and best.recent.read(now, HORIZON) <= part * lately + query:
+                    return best
+                least = best if least is None else min(least, best, key=self.load)
+                last = engine
+            if least is not None:
+                return least
+        return None
--- /dev/null
+++ b/saffronlane/policy/releasing/permits.py
@@ -0,0 +1,40 @@
+"""Whether a request may go out again: rules 2 and 7."""
+
+from ...interface import Effect
+from ...state import Batch, Job, Ration
+
+TTL_MARGIN = 0.25  # seconds before a key's time ends: what leaves must arrive
+
+
+class Permits:
+    def __init__(self, batch: Batch) -> None:
+        self.batch, self.rules, self.ration = batch, batch.rules, Ration()
+
+    def extra(self, job: Job) -> bool:
+        """Rule 7: a sliding window over served requests and further attempts, checked at each of the latter.
+
+        Only what was served widens it: nothing else is sure to be a usual client's. An attempt counts from
+        when it left until it may have come at the latest. What is free may have been used before a restart.
+        """
+        rules, ration, now = self.rules, self.ration, self.batch.now
+        if len(job.attempts) <= job.earlier or rules.budget_free is None:
+            return True
+        slack = self.batch.settings.tick + self.batch.limits.connect_timeout
+        taken = ration.taken.count_since(now - rules.budget_window + slack)
+        extras = ration.extras.count_since(now - rules.budget_window - slack)
+        free = rules.budget_free if now >= self.batch.born + rules.budget_window + slack else 0.0
+        return extras + 1 <= free + rules.budget_ratio * taken
+
+    def open(self, job: Job) -> bool:
+        """Rule 2: whether the request may go out again, as far as its earlier attempts are concerned."""
+        first = job.first_maybe()
+        if first is None or job.cls.effect is Effect.SAFE:
+            return True
+        return job.cls.effect is Effect.KEYED and self.batch.now <= first.sent + job.cls.key_ttl - TTL_MARGIN
+
+    def expired(self, job: Job) -> bool:
+        tries = len(job.attempts) - job.earlier
+        return tries >= max(1, self.batch.limits.max_attempts) or not self.open(job)
+
+    def repeat(self, job: Job) -> bool:
+        return not (job.ended or job.streaming or self.expired(job)) and self.extra(job)
--- /dev/null
+++ b/saffronlane/policy/releasing/release.py
@@ -0,0 +1,60 @@
+"""Group EDF over the held queries, and the refusal of those whose time has lapsed."""
+
+import math
+
+from ...state import Job
+from ..answering.answers import END_MARGIN
+from ..answering.attempts import Attempts
+from ..learning.learned import SEED_ANSWERS
+
+GROUP_RANGE = 0.4  # Gr: how far past the earliest deadline a group reaches, in spans; the paper's value
+LATE_WORTH = 0.4  # while engines are full the aim is the limit of classes whose late answers earn less
+LAPSE_GAP = 0.05  # seconds between looks for lapsed queries; every batch would cost too much when many wait
+
+
+class Release:
+    def __init__(self, attempts: Attempts) -> None:
+        self.attempts, self.batch, self.answers = attempts, attempts.batch, attempts.answers
+        self.placement, self.pressure = attempts.placement, attempts.placement.pressure
+        self.next_lapse = -math.inf
+
+    def lapsed(self, job: Job) -> bool:
+        """The design's refusal: now + ExecTime passes the query's, the class's or the client's limit."""
+        known, blocked = self.answers.classes.learned[job.index], self.pressure.blocked
+        limit = min(job.deadline, job.limit - END_MARGIN)
+        if blocked and job.over:
+            return True
+        if blocked and job.cls.late_value < LATE_WORTH:
+            stretch = job.cls.aim_stretch * known.work(job.cost) / job.cls.threads
+            limit = min(limit, job.arrival + job.cls.aim + stretch)
+        return self.batch.now + (known.exec_time(job.cost) if known.count >= SEED_ANSWERS else 0.0) > limit
+
+    def release(self) -> None:
+        """Group EDF over the held queries, until none can be placed."""
+        now, owed, permits = self.batch.now, self.answers.owed, self.answers.permits
+        if now >= self.next_lapse:
+            self.next_lapse = now + LAPSE_GAP
+            for job in [j for j in owed.held.values() if permits.expired(j) or self.lapsed(j)]:
+                if job.out:  # a second copy that finds no room: the first may still answer
+                    del owed.held[job.id]
+                else:
+                    self.answers.finish(job)
+        self.pressure.blocked = False
+        self.placement.told.forget_until(now)
+        owed.turns.forget_until(now)
+        waiting = [j for j in owed.held.values() if j.looks_until <= now + 1e-6]
+        waiting = [j for j in waiting if owed.turns.has(j, now) and permits.extra(j)]
+        waiting.sort(key=lambda j: (j.over, j.deadline, j.id))
+        while waiting:
+            first = waiting[0]
+            end = first.deadline + GROUP_RANGE * (first.deadline - first.arrival)
+            group = [j for j in waiting if j.over == first.over and j.deadline <= end]
+            job = min(group, key=lambda j: (self.answers.classes.exec_time(j), j.deadline, j.id))
+            waiting.remove(job)
+            engine = self.placement.place(job)
+            if engine is None:
+                self.pressure.blocked = True
+                # No room for others of its class: trying each costs too much; further tries go to no more.
+                waiting = [j for j in waiting if j.index != job.index or (job.attempts and not j.attempts)]
+            elif permits.extra(job):
+                self.attempts.send(job, engine)
--- /dev/null
+++ b/saffronlane/policy/telling/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways tell each other."""
--- /dev/null
+++ b/saffronlane/state/batch.py
@@ -0,0 +1,36 @@
+"""What all concerns share of the batch in hand: the settings, its time, chance, and what is to be done."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from typing import TYPE_CHECKING
+
+from .. import interface as api
+
+if TYPE_CHECKING:
+    from .requests import Attempt, Job
+
+
+class Batch:
+    """One for each gateway; it lasts, and is begun anew with each batch of events."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings, self.rules, self.limits = settings, settings.guarantees, settings.limits
+        self.random = Random(seed)
+        self.now, self.born = 0.0, math.inf  # seconds; of this batch, and of the first one
+        self.actions: list[api.Action] = []
+        self.timers: dict[int, Job | Attempt | None] = {}  # None: housekeeping
+        self._next_token = 1
+
+    def begin(self, now: float) -> None:
+        self.now, self.born = now, min(self.born, now)
+        self.actions = []
+
+    def do(self, action: api.Action) -> None:
+        self.actions.append(action)
+
+    def timer(self, at: float, whom: Job | Attempt | None) -> None:
+        token, self._next_token = self._next_token, self._next_token + 1
+        self.timers[token] = whom
+        self.actions.append(api.SetTimer(token, at))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 
 from saffronlane import interface as api
-from saffronlane.rules import Gateway
+from saffronlane.policy import Gateway
 
 LOOKUP = api.ClassSettings("short", aim=1.0, deadline=5.0, value=1.0, threads=1)
 REPORT = api.ClassSettings("long", aim=2.0, deadline=20.0, value=8.0, late_value=0.4, threads=4)
@@ -64,7 +64,7 @@
 
     def arrival(self, cls: int = 0, remaining: float | None = None, **fields: object) -> api.Arrival:
         self.next_request += 1
-        deadline = self.gateway.settings.classes[cls].deadline
+        deadline = self.gateway.batch.settings.classes[cls].deadline
         return api.Arrival(self.next_request, cls, deadline if remaining is None else remaining, **fields)
 
     def end(self, request: int, outcome: api.Outcome, attempt: int = 0, **fields: object) -> list[api.Action]:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -230,9 +230,9 @@
         return {
             "requests": len(node.executor._requests),
             "core": len(core._requests),
-            "jobs": len(gateway.jobs),
-            "attempts": len(gateway.attempts),
-            "held": len(gateway.held),
+            "jobs": len(gateway.owed.jobs),
+            "attempts": len(gateway.own.attempts),
+            "held": len(gateway.owed.held),
             "ids": len(node.front.ids),
             "open": sum(len(link.open) for links in node.links._links.values() for link in links),
         }
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -211,7 +211,7 @@
     world.pass_time(14.0)
     answers = world.of(ANSWERS)
     assert len(answers) == 10_000 and {a.request for a in answers} == set(requests)
-    assert not world.core._requests and not world.core.gateway.jobs
+    assert not world.core._requests and not world.core.gateway.owed.jobs
 
 
 def test_a_clock_that_goes_back_counts_as_standing_still() -> None:
@@ -391,4 +391,4 @@
         request = world.submit(tables=n + 1)
         world.step(d.ClientLeft(request))
         world.done(request, Outcome.CANCELLED)
-    assert len(world.core.gateway.orders) <= 4_096
+    assert len(world.core.gateway.placement.rooms.order.known) <= 4_096
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -205,7 +205,7 @@
         with adbc.connect(built.url, options, autocommit=True) as connection, connection.cursor() as cursor:
             cursor.execute("SELECT * FROM plays")
             assert len(cursor.fetchall()) == 1
-        learned = built.daemon.dispatcher.gateway.learned
+        learned = built.daemon.dispatcher.gateway.classes.learned
         assert [k.count for k in learned] == [0, 1, 0]
 
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -23,7 +23,7 @@
 from saffronlane.knowledge import Ledger, Memory, Moment, Recall, What, between, weigh
 from saffronlane.knowledge import kept as k
 from saffronlane.knowledge.rebase import Rebase
-from saffronlane.rules import SEED_ANSWERS
+from saffronlane.policy.learning.learned import SEED_ANSWERS
 from saffronlane.storage import Entry, RealFiles, recover
 
 HERE = Moment(1000.0, 1e9, "boot", "place")
@@ -320,8 +320,9 @@
         "after a boot": (life.killed(gap=0.5, boot="next", mono=1.0), False),
     }
     for name, (after, exact) in cases.items():
-        assert (after.core.gateway.born < after.start.mono) is exact, name
-    assert life.stopped(gap=60.0).core.gateway.born < life.now  # it told of its end: nothing was sent since
+        assert (after.core.gateway.batch.born < after.start.mono) is exact, name
+    after = life.stopped(gap=60.0)
+    assert after.core.gateway.batch.born < life.now  # it told of its end: nothing was sent since
 
 
 def test_a_run_that_was_not_exact_does_not_make_the_next_one_so():
@@ -331,7 +332,7 @@
     life.engines()
     second = life.killed(gap=3600.0)
     third = second.killed(gap=0.5)
-    assert third.core.gateway.born == second.start.mono
+    assert third.core.gateway.batch.born == second.start.mono
 
 
 # --- rule 7 ---
@@ -435,7 +436,7 @@
 def test_right_knowledge_is_there_at_once():
     after = taught(0.05).killed()
     after.engines(4)
-    assert after.core.gateway.learned[0].exec_time() == pytest.approx(0.05, rel=0.02)
+    assert after.core.gateway.classes.learned[0].exec_time() == pytest.approx(0.05, rel=0.02)
     assert after.core.keeper.summary.classes["short"] == pytest.approx(weigh.MASS_MOST, rel=0.01)
     said = [e.text for e in after.effects if isinstance(e, api.Log)]
     assert said == ["recalled 4 engines; classes: short as 16 answers"]
@@ -446,8 +447,8 @@
     for gap in (1.0, 3600.0, 86_400.0, 30 * 86_400.0):
         after = taught(0.05).killed(gap)
         after.engines(4)
-        paces.append(after.core.gateway.learned[0].exec_time())
-    seed = Life(make_settings(), {}).core.gateway.learned[0].exec_time()
+        paces.append(after.core.gateway.classes.learned[0].exec_time())
+    seed = Life(make_settings(), {}).core.gateway.classes.learned[0].exec_time()
     assert paces == sorted(paces) and paces[0] < 0.06 and paces[3] == pytest.approx(seed)
 
 
@@ -484,7 +485,7 @@
     gateway that knows nothing, and the 4 answers on which it is found out."""
 
     def answers_until_right(life: Life) -> int:
-        known, needed = life.core.gateway.learned[0], 0
+        known, needed = life.core.gateway.classes.learned[0], 0
         for n in range(60):
             if not 0.5 < known.exec_time() / 0.05 < 2.0:
                 needed = n + 1
@@ -504,12 +505,13 @@
 def test_knowledge_that_keeps_its_own_refutation_away_is_dropped():
     """Guards a class whose recalled needs fit no engine: nothing is sent, so no answer could ever tell."""
     life = taught(limits=replace(make_settings().limits, peers=True))
-    life.core.gateway.learned[0].need = 1e8
+    life.core.gateway.classes.learned[0].need = 1e8
     life.done(life.submit(), elapsed=0.05, work=0.05)
     life.pass_time(1.0)
     after = life.killed()
     after.engines(4)
-    for n, engine in enumerate(after.core.gateway.engines):  # others hold so much that only a small need fits
+    # Others hold so much that only a small need fits.
+    for n, engine in enumerate(after.core.gateway.fleet.engines):
         told = messages.Message(n, 1, False, 0, 40.0, 0.6, messages.engine_mark(engine))
         after.step(api.PeerMessage(1, messages.encode(told)))
     held = after.submit(memory_mb=100.0)
@@ -517,7 +519,7 @@
     for _ in range(12):
         after.pass_time(1.0)
         held = after.submit(memory_mb=100.0)
-    assert after.sends(held) and after.core.gateway.learned[0].need < 100.0
+    assert after.sends(held) and after.core.gateway.classes.learned[0].need < 100.0
 
 
 def test_other_settings_of_a_class_make_what_was_learned_say_nothing():
@@ -539,7 +541,7 @@
         replace(life.settings, classes=life.settings.classes[::-1]), life.folder, replace(HERE, mono=life.now)
     )
     after.engines(4)
-    assert after.core.gateway.learned[1].exec_time() == pytest.approx(0.05, rel=0.02)
+    assert after.core.gateway.classes.learned[1].exec_time() == pytest.approx(0.05, rel=0.02)
 
 
 def test_another_fleet_halves_what_classes_know_and_another_kind_ends_it():
@@ -554,10 +556,10 @@
 
 def test_the_limit_of_a_jam_outlives_a_crash_and_fades():
     life = taught()
-    life.core.gateway.limit, life.core.gateway.crowd = 6.0, 5.0
+    life.core.gateway.pressure.limit, life.core.gateway.pressure.crowd = 6.0, 5.0
     life.done(life.submit(), elapsed=0.05, work=0.01)
     life.pass_time(1.0)
-    before = life.core.gateway.limit
+    before = life.core.gateway.pressure.limit
     soon, late = life.killed(1.0).core.gateway, life.killed(120.0).core.gateway
     assert before < soon.limit < 1.5 * before and soon.crowd > 1.0
     assert late.limit == math.inf and late.crowd == 1.0
@@ -575,7 +577,7 @@
         life.done(request, Outcome.RESET if bad else Outcome.OK, elapsed=0.02)
         if bad and len(life.sends(request)) > 1:
             life.done(request, elapsed=0.02, attempt=1)
-    assert life.core.gateway.engines[engine_id(0)].ill
+    assert life.core.gateway.fleet.engines[engine_id(0)].ill
     life.pass_time(1.0)
     return life
 
@@ -583,8 +585,8 @@
 def test_an_ill_engine_is_not_found_out_anew():
     after = ill_engine().killed()
     after.engines(4)
-    engine = after.core.gateway.engines[engine_id(0)]
-    assert engine.ill and not after.core.gateway.engines[engine_id(1)].ill
+    engine = after.core.gateway.fleet.engines[engine_id(0)]
+    assert engine.ill and not after.core.gateway.fleet.engines[engine_id(1)].ill
     sends = [after.submit() for _ in range(20)]
     assert sum(e.engine == engine_id(0) for r in sends for e in after.sends(r)) <= 1  # a trial
 
@@ -593,16 +595,16 @@
     life = ill_engine(started=HERE.mono - 500.0)
     again = life.killed()
     again.engines(4, started=HERE.mono - 500.0)
-    assert again.core.gateway.engines[engine_id(0)].ill
+    assert again.core.gateway.fleet.engines[engine_id(0)].ill
     restarted = life.killed()
     restarted.engines(4, started=life.now)
-    assert not restarted.core.gateway.engines[engine_id(0)].ill
+    assert not restarted.core.gateway.fleet.engines[engine_id(0)].ill
 
 
 def test_wrong_illness_is_disproved_by_its_trials():
     after = ill_engine().killed(gap=2.0)
     after.engines(4)
-    engine = after.core.gateway.engines[engine_id(0)]
+    engine = after.core.gateway.fleet.engines[engine_id(0)]
     while engine.ill and after.now - after.start.mono < 12.0:
         after.done(after.submit(), elapsed=0.02)
     assert not engine.ill
@@ -611,7 +613,7 @@
 def test_old_illness_says_nothing():
     after = ill_engine().killed(gap=weigh.HEALTH_MOST + 1.0)
     after.engines(4)
-    assert not after.core.gateway.engines[engine_id(0)].ill
+    assert not after.core.gateway.fleet.engines[engine_id(0)].ill
 
 
 def test_engines_that_left_the_list_are_remembered_for_a_while_and_then_not():
@@ -651,7 +653,7 @@
     folder[b"z/unknown"] = Entry(1, b"")
     after = Life(life.settings, folder, replace(HERE, mono=life.now + 1.0))
     after.engines(4)
-    assert after.core.gateway.learned[0].exec_time() == pytest.approx(0.05, rel=0.02)
+    assert after.core.gateway.classes.learned[0].exec_time() == pytest.approx(0.05, rel=0.02)
     assert len(after.core.keeper.summary.notes) == 4
     after.pass_time(2.0)
     assert folder[b"z/unknown"] == Entry(1, b"") and folder[k.BUDGET].version == 9  # left for who knows them
@@ -725,11 +727,10 @@
         life.done(life.submit(), elapsed=0.05)
     open_one = life.submit(key=5)
     unsafe = life.submit(cls=1, identity=b"u")
-    life.core.gateway.on_note = None  # type: ignore[assignment]
     life.core.gateway.handlers[api.Note] = lambda event: 1 / 0
     life.step(d.AttemptNote(open_one, 0, api.NoteKind.PROGRESS, 0.5))
     assert life.core.faults == 1 and life.answers(open_one) and life.answers(unsafe)
-    assert life.core.gateway.learned[0].exec_time() == pytest.approx(0.05, rel=0.05)
+    assert life.core.gateway.classes.learned[0].exec_time() == pytest.approx(0.05, rel=0.05)
     life.pass_time(1.7)
     waits, again = life.submit(key=5), life.submit(cls=1, identity=b"u")
     assert not life.sends(waits) and not life.sends(again)
@@ -759,11 +760,12 @@
     life = ill_engine()
     life.step(d.Forget((What.CLASSES, What.ENGINES)))
     life.pass_time(1.0)
-    assert not life.core.gateway.engines[engine_id(0)].ill and life.core.gateway.learned[0].count == 0
+    gateway = life.core.gateway
+    assert not gateway.fleet.engines[engine_id(0)].ill and gateway.classes.learned[0].count == 0
     assert k.CLASS + b"short" not in life.folder
     after = life.killed()
     after.engines(4)
-    assert after.core.gateway.learned[0].count == 0
+    assert after.core.gateway.classes.learned[0].count == 0
 
 
 def test_a_folder_that_comes_free_later_is_taken_in_while_the_gateway_runs(tmp_path: Path):
@@ -787,7 +789,7 @@
     again, waits = new.submit(cls=0, identity=b"mine"), new.submit(cls=1, key=3)
     new.pass_time(0.5)
     assert not new.sends(again) and not new.sends(waits)
-    assert core.gateway.learned[1].exec_time() == pytest.approx(0.05, rel=0.05)
+    assert core.gateway.classes.learned[1].exec_time() == pytest.approx(0.05, rel=0.05)
     assert {k.SENT + b"mine", k.CLASS + b"ordered"} <= set(new.folder)  # kept on, by the new one
 
 
@@ -804,7 +806,8 @@
         summary = life.core.keeper.summary
         assert summary.notes == [] and summary.exact and summary.classes == {"short": weigh.MASS_MOST}
         assert (summary.engines, summary.requests, summary.orders) == (1, 1, 1)
-        assert life.core.gateway.engines[engine_id(0)].ill and len(life.core.gateway.extras) == 1
+        gateway = life.core.gateway
+        assert gateway.fleet.engines[engine_id(0)].ill and len(gateway.answers.permits.ration.extras) == 1
         changed = life.folder[k.CLASS + b"short"]
         assert changed.version == k.VERSIONS[k.CLASS]  # written anew as of this version
 
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -11,8 +11,11 @@
 from conftest import LOOKUP, REPORT, Driver, engine_id, make_settings, one_class
 
 from saffronlane import interface as api
-from saffronlane import messages, rules
+from saffronlane import messages, policy
 from saffronlane.interface import EngineState, ListMode, NoteKind, Outcome
+from saffronlane.policy.learning.classes import HEAVY
+from saffronlane.policy.learning.learned import SEED_ANSWERS
+from saffronlane.policy.placing.rooms import FULL_MEMORY
 
 GATEWAYS, ENGINES, WORK, WINDOW = 200, 40, 0.3, 1.5
 COLD = api.Guarantees(fall_multiple=3.0, fall_window=WINDOW, cold_share=0.35, cold_time=14.0)
@@ -24,7 +27,7 @@
     """Drivers of the gateways of one deployment, which have learned 0.3 s of work and latency."""
     drivers = []
     for position in range(count):
-        plain = make_settings(gateways=count, position=position, **changes)
+        plain = make_settings(**{"gateways": count, "position": position, **changes})
         driver = Driver(plain, engines=engines, seed=position, now=100.0)
         for _ in range(12):
             driver.end(driver.ask(tables=float(position % 50)), Outcome.OK, work=WORK, elapsed=WORK)
@@ -55,8 +58,7 @@
 
 
 def test_large_queries_do_not_gamble_on_a_cold_engine() -> None:
-    driver = many(1, engines=1, guarantees=COLD, classes=(LOOKUP, REPORT))[0]
-    driver.gateway.settings = replace(driver.gateway.settings, gateways=GATEWAYS)
+    driver = many(1, engines=1, gateways=GATEWAYS, guarantees=COLD, classes=(LOOKUP, REPORT))[0]
     driver.list([api.EngineEntry(engine_id(0), EngineState.READY, started=driver.now)], ListMode.DELTA)
     driver.now += 13.0
     assert not driver.sends(driver.ask(cls=1))
@@ -64,7 +66,7 @@
 
 def test_one_gateway_and_forty_engines_place_at_home_and_spread_under_load() -> None:
     driver = many(1)[0]
-    home = [e.id for e in driver.gateway.order(3.0)[:2]]
+    home = [e.id for e in driver.gateway.placement.rooms.order(3.0)[:2]]
     assert driver.sends(driver.ask(tables=3.0))[0].engine in home
     used = {driver.sends(driver.ask(tables=3.0))[0].engine for _ in range(60)}
     assert len(used) > 10
@@ -84,8 +86,7 @@
 
 
 def test_a_gateway_whose_part_is_below_one_query_still_holds_under_pressure() -> None:
-    driver = many(1, classes=one_class(late_value=0.5))[0]
-    driver.gateway.settings = replace(driver.gateway.settings, gateways=GATEWAYS)
+    driver = many(1, gateways=GATEWAYS, classes=one_class(late_value=0.5))[0]
     for _ in range(60):
         driver.end(driver.ask(), Outcome.OK, work=WORK, elapsed=3.0)
         driver.now += 0.4
@@ -132,9 +133,9 @@
 
 def test_trials_of_many_dead_engines_do_not_take_all_queries() -> None:
     driver = many(1)[0]
-    dead = list(driver.gateway.engines.values())[:15]
+    dead = list(driver.gateway.fleet.engines.values())[:15]
     for engine in dead:
-        driver.gateway.condemn(engine, "failing")
+        driver.gateway.health.condemn(engine, "failing")
     trials = 0
     for i in range(100):
         driver.now += 0.5
@@ -148,9 +149,10 @@
 # --- what gateways tell each other ---
 
 
-def telling(position: int, loads: bool = True) -> Driver:
+def telling(position: int, loads: bool = True, **changes: object) -> Driver:
     heavy = (LOOKUP, replace(REPORT, is_load=loads))
-    settings = make_settings(gateways=3, position=position, limits=PEERS, classes=heavy)
+    usual = {"gateways": 3, "position": position, "limits": PEERS, "classes": heavy}
+    settings = make_settings(**usual | changes)
     driver = Driver(settings, engines=6, seed=position)
     for _ in range(20):
         driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
@@ -162,7 +164,7 @@
     request = sender.ask(cls=1, tables=4.0)
     for told in sender.of_kind(api.Tell):
         receiver.step(api.PeerMessage(0, told.data))
-    engine = receiver.gateway.engines[sender.sends(request)[0].engine]
+    engine = receiver.gateway.fleet.engines[sender.sends(request)[0].engine]
     assert engine.loading(4.0) and engine.told_threads == REPORT.threads
     before = len(sender.of_kind(api.Tell))
     sender.end(request, Outcome.OK, work=2.0, elapsed=1.0)
@@ -183,34 +185,32 @@
     sender.ask(cls=1)
     for told in sender.of_kind(api.Tell):
         receiver.step(api.PeerMessage(0, told.data))
-    assert receiver.gateway.told.threads > 0.0
+    assert receiver.gateway.telling.board.threads > 0.0
     receiver.now += 120.0
     receiver.ask()
-    assert receiver.gateway.told.threads == 0.0
+    assert receiver.gateway.telling.board.threads == 0.0
 
 
 def test_a_fleet_at_work_tells_every_heavy_query() -> None:
     """Guards against a limit on what is told that the fleet passes: the most loaded moment went untold."""
-    driver = telling(1, loads=False)
-    driver.gateway.settings = replace(driver.gateway.settings, gateways=230)
-    engines = list(driver.gateway.engines)
+    driver = telling(1, loads=False, gateways=230)
+    engines = list(driver.gateway.fleet.engines)
     for sender in range(2, 232):
         for number in range(4):
             told = messages.Message(number, 3, False, 7, 20.0, 0.0, messages.engine_mark(engines[number]))
             driver.step(api.PeerMessage(sender, messages.encode(told)))
-    assert driver.gateway.told.threads == 3.0 * 4 * 230
+    assert driver.gateway.telling.board.threads == 3.0 * 4 * 230
     assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1
-    known = driver.gateway.learned[1]
-    known.works = known.calm = rules.HEAVY * 1.01 * driver.gateway.usual()[0] * rules.SEED_ANSWERS
-    assert driver.gateway.heavy(driver.gateway.jobs[driver.next_request])
+    known = driver.gateway.classes.learned[1]
+    known.works = known.calm = HEAVY * 1.01 * driver.gateway.classes.usual()[0] * SEED_ANSWERS
+    assert driver.gateway.classes.heavy(driver.gateway.owed.jobs[driver.next_request])
     assert driver.sends(driver.ask(cls=1)) and len(driver.of_kind(api.Tell)) == 1  # the lightest of many
 
 
 def test_a_query_that_needs_all_memory_of_an_engine_is_served_while_half_is_free() -> None:
     """Guards against a class that never fits: its grant passes the part that own and told grants may fill."""
-    driver = telling(1, loads=False)
-    driver.gateway.settings = replace(driver.gateway.settings, grants_heeded=True)
-    engines = list(driver.gateway.engines)
+    driver = telling(1, loads=False, grants_heeded=True)
+    engines = list(driver.gateway.fleet.engines)
 
     def tell(share: float, number: int) -> None:
         for engine in engines:
@@ -238,8 +238,8 @@
     for driver in drivers[1:]:
         driver.step(api.PeerMessage(0, told[0].data))
         assert driver.sends(driver.ask(tables=4.0))[0].engine != full
-        until.add(driver.gateway.engines[full].full)
-        driver.now += 2.0 * rules.FULL_MEMORY + 0.01
+        until.add(driver.gateway.fleet.engines[full].full)
+        driver.now += 2.0 * FULL_MEMORY + 0.01
         assert full in {driver.sends(driver.ask(tables=4.0))[0].engine for _ in range(4)}
     assert len(until) == 2
     second = drivers[0].ask(tables=4.0)
@@ -261,14 +261,14 @@
 def test_odd_messages_teach_nothing(sender: int, data: bytes) -> None:
     driver = telling(1)
     driver.step(api.PeerMessage(sender, data))
-    assert driver.gateway.told.threads == 0.0 and not driver.gateway.told.entries
+    assert driver.gateway.telling.board.threads == 0.0 and not driver.gateway.telling.board.entries
 
 
 def test_a_replayed_message_counts_once() -> None:
     driver = telling(1)
     for _ in range(5):
         driver.step(api.PeerMessage(0, START))
-    assert driver.gateway.told.threads == 4.0
+    assert driver.gateway.telling.board.threads == 4.0
 
 
 @pytest.mark.parametrize("report", [(), (1.0,), (math.nan,) * 4, (1e30, -5.0, math.inf, 0.0, 7.0)])
@@ -294,7 +294,8 @@
 
 
 def test_no_two_constants_of_the_module_share_a_name() -> None:
-    lines = [line.split("#")[0].split(" = ") for line in Path(rules.__file__).read_text().splitlines()]
+    files = list(Path(policy.__file__).parent.rglob("*.py"))
+    lines = [line.split("#")[0].split(" = ") for file in files for line in file.read_text().splitlines()]
     names = [name for parts in lines if len(parts) > 1 for name in parts[0].strip().split(", ")]
     constants = [name for name in names if name.isupper()]
     assert len(constants) > 20 and len(constants) == len(set(constants))
@@ -371,4 +372,4 @@
     for _ in range(60):
         driver.end(driver.ask(), Outcome.OK, elapsed=0.2)
         driver.end(driver.ask(), Outcome.CANCELLED, elapsed=3.0, final=True)
-    assert driver.gateway.learned[0].work() > 1.0
+    assert driver.gateway.classes.learned[0].work() > 1.0
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -1,4 +1,4 @@
-"""The module stays small enough to be read in a sitting."""
+"""The decisions stay small enough to be read in a sitting, and each of their files at a glance."""
 
 import tomllib
 from pathlib import Path
@@ -8,6 +8,9 @@
 
 def test_module_size() -> None:
     policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
-    lines = [line for file in policy for line in (ROOT / file).read_text().splitlines() if line.strip()]
+    files = [file for folder in policy for file in (ROOT / folder).rglob("*.py")]
+    lines = [line for file in files for line in file.read_text().splitlines() if line.strip()]
+    assert len(files) > 15
     assert len(lines) <= 860
     assert max(map(len, lines)) <= 110
+    assert max(len(file.read_text().splitlines()) for file in files) <= 150
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -32,7 +32,7 @@
 from saffronlane.interface import Outcome
 from saffronlane.platform import front as front_module
 from saffronlane.platform import links as links_module
-from saffronlane.rules import GONE_MOST
+from saffronlane.policy.gateway import GONE_MOST
 
 RID = "9b1f03aa5c7e2d41"
 
@@ -880,8 +880,8 @@
         node = built.node
         assert len(node.fleet) == len(node.dispatcher._engines) == 1
         assert len(node.links._links) <= 1
-        assert len(gateway.engines) == len(gateway.marks) <= GONE_MOST + 1
-        assert len(gateway.orders) <= 2
+        assert len(gateway.fleet.engines) == len(gateway.fleet.marks) <= GONE_MOST + 1
+        assert len(gateway.placement.rooms.order.known) <= 2
 
     play(work)
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -9,14 +9,14 @@
 from conftest import LOOKUP, REPORT, Driver, engine_id, make_settings, one_class
 
 from saffronlane import interface as api
-from saffronlane import rules
 from saffronlane.interface import Outcome
+from saffronlane.policy.releasing import pressure
 
 
 @pytest.fixture(autouse=True)
 def steady_limits(monkeypatch: pytest.MonkeyPatch) -> None:
     """Keep the limit where a test puts it."""
-    monkeypatch.setattr(rules, "GROW", 0.0)
+    monkeypatch.setattr(pressure, "GROW", 0.0)
 
 
 def crowded_driver(**changes: object) -> Driver:
@@ -24,13 +24,13 @@
     driver = Driver(make_settings(**changes), engines=1)
     for _ in range(40):
         driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
-    driver.gateway.limit = 1.0
+    driver.gateway.pressure.limit = 1.0
     return driver
 
 
 def test_deadline_is_ten_times_the_exec_time_seeded_to_the_aim(driver: Driver) -> None:
     request = driver.ask(cls=1)
-    assert driver.gateway.jobs[request].deadline == pytest.approx(100.0 + 10.0 * REPORT.aim)
+    assert driver.gateway.owed.jobs[request].deadline == pytest.approx(100.0 + 10.0 * REPORT.aim)
 
 
 def test_batch_competes_before_release_and_smallest_in_group_leaves_first() -> None:
@@ -40,8 +40,8 @@
     blocker = driver.ask(cost=0.1)
     large, small = driver.arrival(cost=0.12), driver.arrival(cost=0.10)
     driver.step(large, small)
-    driver.gateway.jobs[large.request].deadline = driver.now + 1.0
-    driver.gateway.jobs[small.request].deadline = driver.now + 1.05  # within Gr of the earlier one
+    driver.gateway.owed.jobs[large.request].deadline = driver.now + 1.0
+    driver.gateway.owed.jobs[small.request].deadline = driver.now + 1.05  # within Gr of the earlier one
     driver.end(blocker, Outcome.OK, work=0.1, elapsed=0.1)
     assert driver.sends()[-1].request == small.request
 
@@ -59,9 +59,9 @@
     driver = crowded_driver(classes=(replace(LOOKUP, late_value=0.5),))
     blocker = driver.ask()
     early = driver.ask()
-    driver.gateway.jobs[early].deadline = driver.now + 0.5
+    driver.gateway.owed.jobs[early].deadline = driver.now + 0.5
     late = driver.ask(cost=0.01)
-    driver.gateway.jobs[late].deadline = driver.now + 5.0
+    driver.gateway.owed.jobs[late].deadline = driver.now + 5.0
     driver.end(blocker, Outcome.OK, work=0.1, elapsed=0.1)
     assert driver.sends()[-1].request == early
 
@@ -91,15 +91,15 @@
     first, second = (Driver(make_settings(position=p), engines=6, seed=p) for p in (0, 1))
     orders = []
     for tables in range(20):
-        order = [e.id for e in first.gateway.order(float(tables))]
-        assert order == [e.id for e in second.gateway.order(float(tables))]
+        order = [e.id for e in first.gateway.placement.rooms.order(float(tables))]
+        assert order == [e.id for e in second.gateway.placement.rooms.order(float(tables))]
         orders.append(order[0])
     assert len(set(orders)) > 2
 
 
 def test_a_table_group_stays_on_its_first_two_engines_and_spills_past_the_limit() -> None:
     driver = Driver(make_settings(), engines=6)
-    home = [e.id for e in driver.gateway.order(3.0)[:2]]
+    home = [e.id for e in driver.gateway.placement.rooms.order(3.0)[:2]]
     few = [driver.sends(driver.ask(tables=3.0))[0].engine for _ in range(3)]
     assert set(few) <= set(home)
     many = [driver.sends(driver.ask(tables=3.0))[0].engine for _ in range(30)]
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -9,17 +9,18 @@
 from conftest import LOOKUP, REPORT, Driver, engine_id, make_settings, one_class
 
 from saffronlane import interface as api
-from saffronlane import rules
 from saffronlane.interface import EngineState, ListMode, NoteKind, Outcome
+from saffronlane.policy.releasing.pressure import PRESSED
 
 LOAD = replace(REPORT, name="load", threads=2, is_load=True)
 NOTED = {"note_period": 1.0}
+COLD_TIME = 14.0
 
 
 def warmed(**changes: object) -> Driver:
     """A driver whose classes have learned 0.1 s of work and latency each."""
     driver = Driver(make_settings(**changes), engines=4)
-    for cls in range(len(driver.gateway.settings.classes)):
+    for cls in range(len(driver.gateway.batch.settings.classes)):
         for _ in range(20):
             driver.end(driver.ask(cls=cls), Outcome.OK, work=0.1, elapsed=0.1)
     return driver
@@ -27,11 +28,11 @@
 
 def test_a_long_queue_of_one_class_is_not_tried_engine_by_engine(monkeypatch: pytest.MonkeyPatch) -> None:
     driver = warmed()
-    driver.gateway.limit = 0.5
+    driver.gateway.pressure.limit = 0.5
     driver.step(*(driver.arrival() for _ in range(300)))
     calls = []
-    place = driver.gateway.place
-    monkeypatch.setattr(driver.gateway, "place", lambda job: calls.append(job) or place(job))
+    place = driver.gateway.placement.place
+    monkeypatch.setattr(driver.gateway.placement, "place", lambda job: calls.append(job) or place(job))
     driver.step()
     assert len(calls) <= 2
 
@@ -40,11 +41,11 @@
     driver.list([api.EngineEntry(engine_id(0), EngineState.READY)])
     for _ in range(10):
         driver.end(driver.ask(), Outcome.TIMEOUT)
-    assert not driver.gateway.engines[engine_id(0)].ill
+    assert not driver.gateway.fleet.engines[engine_id(0)].ill
 
 
 def test_errors_condemn_an_engine_and_trials_bring_it_back(driver: Driver) -> None:
-    bad = driver.gateway.order(0.0)[0]
+    bad = driver.gateway.placement.rooms.order(0.0)[0]
     for _ in range(100):
         request = driver.ask(tables=0.0)
         if driver.sends(request)[0].engine == bad.id:
@@ -68,9 +69,9 @@
 
 
 def test_no_verdict_binds_when_most_engines_look_ill(driver: Driver) -> None:
-    for engine in list(driver.gateway.engines.values())[:3]:
-        driver.gateway.condemn(engine, "failing")
-    driver.gateway.trust()
+    for engine in list(driver.gateway.fleet.engines.values())[:3]:
+        driver.gateway.health.condemn(engine, "failing")
+    driver.gateway.health.trust()
     used = {driver.sends(driver.ask(tables=float(i)))[0].engine for i in range(12)}
     assert len(used) > 1
 
@@ -78,7 +79,8 @@
 def test_silent_engine_loses_its_work_and_one_answer_brings_it_back() -> None:
     driver = warmed(**NOTED)
     request = driver.ask(tables=1.0)
-    silent = driver.gateway.engines[driver.sends(request)[0].engine]
+    silent = driver.gateway.fleet.engines[driver.sends(request)[0].engine]
+    (late,) = silent.out.values()
     other = next(r for r in (driver.ask(tables=float(i), cls=1) for i in range(9))
                  if driver.sends(r)[0].engine != silent.id)  # fmt: skip
     for _ in range(5):
@@ -86,23 +88,24 @@
         engine = driver.sends(other)[0].engine
         driver.step(api.Note(other, 0, engine, NoteKind.PROGRESS, 0.9))
     assert silent.ill and driver.of_kind(api.Cancel, request)
-    driver.gateway.judge(silent, Outcome.OK, driver.now)
+    driver.gateway.health.ended(late, Outcome.OK)
     assert not silent.ill
 
 
 def test_engine_with_only_a_long_query_is_not_silent_where_no_notes_come() -> None:
     driver = Driver(make_settings(classes=(LOOKUP, replace(REPORT, aim=3.0))), engines=4)
-    first = driver.gateway.order(0.0)[0].id
+    first = driver.gateway.placement.rooms.order(0.0)[0].id
     long = driver.ask(cls=1, tables=0.0)
     assert driver.sends(long)[0].engine == first
-    others = [t for t in map(float, range(1, 40)) if first not in [e.id for e in driver.gateway.order(t)[:2]]]
+    order = driver.gateway.placement.rooms.order
+    others = [t for t in map(float, range(1, 40)) if first not in [e.id for e in order(t)[:2]]]
     for _ in range(20):
         requests = [driver.ask(tables=tables) for tables in others[:4]]
         driver.pass_time(driver.now + 0.2)
         for request in requests:
             driver.end(request, Outcome.OK, work=0.1)
-    assert len(driver.gateway.engines[first].out) == 1
-    assert not driver.gateway.engines[first].ill
+    assert len(driver.gateway.fleet.engines[first].out) == 1
+    assert not driver.gateway.fleet.engines[first].ill
 
 
 def test_a_load_avoids_an_engine_that_holds_a_load_of_its_group() -> None:
@@ -115,7 +118,7 @@
     driver = Driver(make_settings(grants_heeded=True, gateways=2), engines=1)
     for _ in range(10):
         driver.ask(cls=1, memory_mb=3000.0)
-    size = driver.gateway.settings.kinds[0].memory_mb
+    size = driver.gateway.batch.settings.kinds[0].memory_mb
     assert len(driver.sends()) >= 2
     assert sum(terms.grant_mb for terms in driver.of_kind(api.SetTerms)) <= size / 2
 
@@ -124,7 +127,7 @@
     driver = Driver(make_settings(), engines=4)
     for cls, seconds in ((0, 0.1), (1, 2.0)) * 20:
         driver.end(driver.ask(cls=cls), Outcome.OK, work=seconds, elapsed=seconds)
-    driver.gateway.limit = 4.0
+    driver.gateway.pressure.limit = 4.0
     first, second = driver.ask(cls=1), driver.ask(cls=1)
     assert driver.sends(first) and not driver.sends(second)
     assert driver.sends(driver.ask())
@@ -154,16 +157,16 @@
         driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
     for _ in range(150):
         driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.6)
-    assert driver.gateway.crowd > rules.PRESSED
+    assert driver.gateway.pressure.crowd > PRESSED
 
 
 def test_engine_back_with_its_old_start_time_counts_as_cold() -> None:
-    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=14.0)
+    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=COLD_TIME)
     driver = Driver(make_settings(guarantees=guarantees), engines=2)
     driver.list([api.EngineEntry(engine_id(0), EngineState.GONE)], ListMode.DELTA)
     driver.list([api.EngineEntry(engine_id(0), EngineState.READY)], ListMode.DELTA)
-    engine = driver.gateway.engines[engine_id(0)]
-    assert driver.gateway.coldness(engine) > 0.0
+    engine = driver.gateway.fleet.engines[engine_id(0)]
+    assert engine.coldness(driver.now, COLD_TIME) > 0.0
 
 
 def test_a_moot_attempt_gives_back_its_own_budget_entry() -> None:
@@ -175,7 +178,7 @@
     driver.now += 0.5
     driver.end(second, Outcome.REJECTED)
     driver.end(first, Outcome.MOOT, attempt=1)
-    assert list(driver.gateway.extras)[0] == 111.5
+    assert list(driver.gateway.answers.permits.ration.extras)[0] == 111.5
 
 
 def test_a_failed_subscription_is_asked_for_again() -> None:
@@ -192,26 +195,26 @@
     driver = Driver(make_settings(classes=classes), engines=3)
     for _ in range(20):
         driver.end(driver.ask(), Outcome.OK, work=0.1, elapsed=0.1)
-    bad = driver.gateway.order(0.0)[0]
-    driver.gateway.condemn(bad, "failing")
+    bad = driver.gateway.placement.rooms.order(0.0)[0]
+    driver.gateway.health.condemn(bad, "failing")
     driver.now += 5.0
     assert driver.sends(driver.ask(cls=0, tables=0.0))[0].engine != bad.id
     assert driver.sends(driver.ask(cls=1, tables=0.0))[0].engine == bad.id
 
 
 def test_a_broken_link_to_an_engine_that_kept_its_work_is_no_cold_start() -> None:
-    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=14.0)
+    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=COLD_TIME)
     driver = Driver(make_settings(guarantees=guarantees), engines=1)
-    engine = driver.gateway.engines[engine_id(0)]
+    engine = driver.gateway.fleet.engines[engine_id(0)]
     kept, broken = driver.ask(), driver.ask()
     driver.now += 0.1
     driver.end(broken, Outcome.RESET)
     driver.end(broken, Outcome.CONNECT_FAILED, attempt=1)
     driver.now += 0.5
     driver.end(broken, Outcome.OK, attempt=2, work=0.1)
-    assert driver.gateway.coldness(engine) > 0.0
+    assert engine.coldness(driver.now, COLD_TIME) > 0.0
     driver.end(kept, Outcome.OK, work=0.1)
-    assert driver.gateway.coldness(engine) == 0.0
+    assert engine.coldness(driver.now, COLD_TIME) == 0.0
 
 
 def test_a_jam_does_not_become_the_norm_where_many_answers_come():
@@ -222,7 +225,7 @@
     for _ in range(1000):  # ten seconds of a jam, a hundred answers a second
         driver.now += 0.01
         driver.end(driver.ask(), api.Outcome.OK, elapsed=0.5, work=0.05)
-    assert driver.gateway.learned[0].best < 1.5 and driver.gateway.crowd > rules.PRESSED
+    assert driver.gateway.classes.learned[0].best < 1.5 and driver.gateway.pressure.crowd > PRESSED
 
 
 def test_a_cold_engine_is_slow_and_that_is_no_pressure():
@@ -230,12 +233,12 @@
     kept = api.Guarantees(cold_share=0.25, cold_time=10.0, fall_multiple=3.0, fall_window=1.0)
     driver = Driver(make_settings(work_told=True, guarantees=kept), engines=0)
     driver.list([api.EngineEntry(engine_id(0), api.EngineState.READY, started=driver.now)])
-    driver.gateway.born = -math.inf
+    driver.gateway.batch.born = -math.inf
     for _ in range(60):
         request = driver.ask()
         if driver.sends(request):
             driver.end(request, api.Outcome.OK, elapsed=0.2, work=0.05)  # a quarter of its speed
-    assert driver.sends() and driver.gateway.crowd < rules.PRESSED / 2.0
+    assert driver.sends() and driver.gateway.pressure.crowd < PRESSED / 2.0
 
 
 def test_a_cold_engine_goes_first_only_while_it_is_not_loaded_beyond_its_part():
@@ -244,10 +247,10 @@
     driver = Driver(make_settings(guarantees=kept), engines=0)
     cold = api.EngineEntry(engine_id(0), api.EngineState.READY, started=driver.now - 50.0)
     driver.list([cold, *(api.EngineEntry(engine_id(n), api.EngineState.READY) for n in range(1, 4))])
-    driver.gateway.born = -math.inf
+    driver.gateway.batch.born = -math.inf
     for _ in range(24):
         driver.ask()
-    out = [len(e.out) for e in driver.gateway.engines.values()]
+    out = [len(e.out) for e in driver.gateway.fleet.engines.values()]
     assert sum(out) == 24 and 0 < out[0] <= 8
 
 
@@ -256,7 +259,7 @@
     driver = Driver(make_settings(), engines=1)
     for _ in range(20):
         driver.end(driver.ask(), Outcome.OK, work=0.1)
-    engine = driver.gateway.engines[engine_id(0)]
+    engine = driver.gateway.fleet.engines[engine_id(0)]
     carried = [driver.ask() for _ in range(6)]
     driver.now += 0.05
     events = [api.AttemptEnded(r, 0, engine.id, Outcome.RESET, 0.05) for r in carried]
@@ -269,18 +272,18 @@
 
 def test_an_answer_to_what_left_right_after_a_break_is_no_cold_start() -> None:
     """Guards against taking a reset connection for a restart: the engine got a third of its load then."""
-    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=14.0)
+    guarantees = api.Guarantees(fall_multiple=3.0, fall_window=1.5, cold_share=0.35, cold_time=COLD_TIME)
     driver = Driver(make_settings(guarantees=guarantees), engines=1)
-    engine = driver.gateway.engines[engine_id(0)]
+    engine = driver.gateway.fleet.engines[engine_id(0)]
     first, second = driver.ask(), driver.ask()
     driver.now += 0.1
     driver.end(first, Outcome.RESET)
     driver.end(first, Outcome.OK, attempt=1, work=0.1)
-    assert driver.gateway.coldness(engine) == 0.0
+    assert engine.coldness(driver.now, COLD_TIME) == 0.0
     driver.end(second, Outcome.RESET)  # and one sent so much later that a process may have come back
     driver.now += 0.5
     driver.end(driver.ask(), Outcome.OK, work=0.1)
-    assert driver.gateway.coldness(engine) > 0.0
+    assert engine.coldness(driver.now, COLD_TIME) > 0.0
 
 
 def test_requests_that_no_engine_can_run_condemn_none() -> None:
@@ -291,11 +294,11 @@
         for attempt in range(4):
             if len(driver.sends(request)) > attempt:
                 driver.end(request, Outcome.ERROR, attempt=attempt)
-    assert not any(engine.ill for engine in driver.gateway.engines.values())
+    assert not any(engine.ill for engine in driver.gateway.fleet.engines.values())
 
 
 def test_an_error_that_may_not_be_repeated_blames_its_engine() -> None:
     driver = Driver(make_settings(classes=one_class(effect=api.Effect.UNSAFE)), engines=1)
     for _ in range(10):
         driver.end(driver.ask(), Outcome.ERROR)
-    assert driver.gateway.engines[engine_id(0)].ill
+    assert driver.gateway.fleet.engines[engine_id(0)].ill
