--- a/saffronlane/benchlink.py
+++ b/saffronlane/benchlink.py
@@ -16,6 +16,7 @@
 
 from . import interface as api
 from . import params
+from .errors import SaffronlaneError
 from .policy import Gateway
 
 EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE, HEADER_SIZE = 56, 32, 24, 16
@@ -42,9 +43,11 @@
 _ENTRY = struct.Struct(">dBHH6sfB")
 
 
-class WireError(Exception):
+class WireError(SaffronlaneError):
     """The input is not what the wire allows; the text names what is wrong."""
 
+    remedy = "Run it under the simulator that it was made for; the text names what came instead."
+
 
 def read_settings(text: str) -> api.Settings:
     """Turn the lines of `params` into Settings; WireError names what is missing or odd."""
--- a/saffronlane/cli.py
+++ b/saffronlane/cli.py
@@ -104,7 +104,7 @@
 @click.argument("record", type=FILE)
 def replay(record: Path) -> None:
     """Play a record of a gateway's core through the library, and compare what it does."""
-    from .dispatch.journal import JournalError
+    from .dispatch.errors import JournalError
     from .dispatch.journal import replay as play
 
     steps = 0
--- a/saffronlane/config/__init__.py
+++ b/saffronlane/config/__init__.py
@@ -1,7 +1,8 @@
 """Settings: JSON checked by a JSON Schema (2020-12), every error at once and each with its place."""
 
-from .check import ConfigError, Problem, load_json, problems_of
+from .check import Problem, load_json, problems_of
 from .engines import EngineRecord, parse_engines
+from .errors import ConfigError
 from .settings import Config, Matcher, load_config, parse_config, schema_text
 
 __all__ = [
--- a/saffronlane/config/check.py
+++ b/saffronlane/config/check.py
@@ -12,6 +12,8 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError, best_match
 
+from .errors import ConfigError
+
 
 @dataclass(frozen=True, slots=True)
 class Problem:
@@ -24,14 +26,6 @@
         return f"{self.pointer or '/'}: {self.text}"
 
 
-class ConfigError(Exception):
-    """A file that cannot be used; `problems` has all that is wrong with it."""
-
-    def __init__(self, source: str, problems: list[Problem]) -> None:
-        super().__init__("\n".join(f"{source}: {problem}" for problem in problems))
-        self.source, self.problems = source, problems
-
-
 def pointer(path: list[str | int]) -> str:
     return "".join("/" + str(part).replace("~", "~0").replace("/", "~1") for part in path)
 
--- a/saffronlane/config/engines.py
+++ b/saffronlane/config/engines.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from ..interface import EngineState
-from .check import ConfigError, Problem, problems_of
+from .check import Problem, problems_of
+from .errors import ConfigError
 from .settings import Config
 
 
--- a/saffronlane/config/settings.py
+++ b/saffronlane/config/settings.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from .. import interface as api
-from .check import ConfigError, Problem, load_json, problems_of, schema
+from .check import Problem, load_json, problems_of, schema
+from .errors import ConfigError
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/dispatch/journal.py
+++ b/saffronlane/dispatch/journal.py
@@ -12,16 +12,13 @@
 from ..knowledge import Memory
 from .core import MOST_OWED, Dispatcher
 from .effects import Effect
+from .errors import JournalError
 from .inputs import INPUT_TYPES, Input
 
 _ENCODER = msgspec.msgpack.Encoder()
 _BY_NAME: dict[str, type[Input]] = {kind.__name__: kind for kind in INPUT_TYPES}
 
 
-class JournalError(Exception):
-    """The file is no journal, or breaks off; the text names the step."""
-
-
 class Journal:
     """Writes one length-prefixed record a step. The first record holds settings and seed."""
 
--- a/saffronlane/engines/flight.py
+++ b/saffronlane/engines/flight.py
@@ -25,9 +25,10 @@
 from ..rpc import Channel, ClientCall, Code, Ending, RpcError, Status
 from ..rpc.status import detailed
 from . import orca
+from .errors import ConnectFailed
 from .executor import Attempt, Executor, Request
 from .outcomes import Verdict, classify
-from .pool import ConnectFailed, Pool, PoolLimits
+from .pool import Pool, PoolLimits
 
 log = structlog.get_logger()
 MOST_ERROR = 300  # characters of an engine's words in our own answer
--- a/saffronlane/engines/pool.py
+++ b/saffronlane/engines/pool.py
@@ -7,6 +7,7 @@
 
 from ..http2 import ConnectionLimits
 from ..rpc import Channel
+from .errors import ConnectFailed
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,10 +19,6 @@
     idle_time: float = 60.0
 
 
-class ConnectFailed(Exception):
-    """No connection came up in time: nothing was sent."""
-
-
 class Pool:
     """Channels to one address. A channel that says GOAWAY or breaks takes no new call."""
 
--- a/saffronlane/flight/service.py
+++ b/saffronlane/flight/service.py
@@ -22,10 +22,11 @@
 from ..rpc import Code, Handler, RpcError, ServerCall, Status
 from ..rpc.status import error
 from . import handles
+from .errors import SqlError
 from .identity import Identifier, Identity
 from .sessions import Option, Session, Sessions, clear_cookie, set_cookie, user_of
 from .sinks import CallSink, KeptSink
-from .sql import Reader, SqlError, Statement
+from .sql import Reader, Statement
 
 log = structlog.get_logger()
 PREFIX = "type.googleapis.com/"
--- a/saffronlane/flight/sql.py
+++ b/saffronlane/flight/sql.py
@@ -10,6 +10,8 @@
 from sqlglot import exp
 from sqlglot.errors import ParseError, TokenError
 
+from .errors import SqlError
+
 LONGEST_READ = 65_536  # characters; reading longer ones would hold up everybody else
 WRITES = (
     exp.Insert,
@@ -24,10 +26,6 @@
 )
 
 
-class SqlError(Exception):
-    """The statement does not parse; the text names line and column."""
-
-
 @dataclass(frozen=True, slots=True)
 class Statement:
     text: str
--- a/saffronlane/folder.py
+++ b/saffronlane/folder.py
@@ -16,6 +16,7 @@
 from . import __version__
 from .config import Config
 from .dispatch import Dispatcher
+from .errors import told
 from .knowledge import Memory, Moment, What
 from .knowledge import kept as k
 from .storage import (
@@ -83,7 +84,7 @@
             self.memory = Memory(self._open(), self._moment())
         except (OSError, FolderBusy) as error:
             if str(error) != self._why:
-                log.error("knowledge is not kept", folder=str(self.path), why=str(error))
+                log.error("knowledge is not kept", folder=str(self.path), **told(error))
             self._why = str(error)
             self._release()
 
--- a/saffronlane/groups/tree.py
+++ b/saffronlane/groups/tree.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 
+from .errors import Full
 from .spec import OTHER, GroupSpec
 
 Path = tuple[str, ...]
@@ -37,10 +38,6 @@
     gone: bool = False
 
 
-class Full(Exception):
-    """A group takes no more queries; its path is in the text."""
-
-
 @dataclass(slots=True, eq=False)
 class Node:
     """One group's state: what it has out, what waits below it, and its start tag."""
--- a/saffronlane/http2/errors.py
+++ b/saffronlane/http2/errors.py
@@ -4,6 +4,8 @@
 
 from enum import IntEnum
 
+from ..errors import SaffronlaneError
+
 
 class ErrorCode(IntEnum):
     NO_ERROR = 0x0
@@ -22,17 +24,21 @@
     HTTP_1_1_REQUIRED = 0xD
 
 
-class ProtocolError(Exception):
+class ProtocolError(SaffronlaneError):
     """The connection cannot go on: it is told why by GOAWAY and closed."""
 
+    remedy = "See what the peer is and have it keep to HTTP/2; its connection was closed."
+
     def __init__(self, text: str, code: ErrorCode = ErrorCode.PROTOCOL_ERROR) -> None:
         super().__init__(text)
         self.code = code
 
 
-class StreamError(Exception):
+class StreamError(SaffronlaneError):
     """One stream is at fault: it is reset, the connection goes on."""
 
+    remedy = "Have the client correct the one call; its connection goes on."
+
     def __init__(self, stream_id: int, text: str, code: ErrorCode = ErrorCode.PROTOCOL_ERROR) -> None:
         super().__init__(text)
         self.stream_id = stream_id
--- a/saffronlane/knowledge/forget.py
+++ b/saffronlane/knowledge/forget.py
@@ -15,6 +15,7 @@
 from ..policy.learning.learned import Learned
 from ..storage import Change, Entry
 from . import kept as k
+from .errors import Unreadable
 
 
 class What(Enum):
@@ -48,7 +49,7 @@
         elif What.ENGINES in chosen and kind == k.ENGINE:
             try:
                 engine = k.decode(key, entry)
-            except k.Unreadable:
+            except Unreadable:
                 continue
             if isinstance(engine, k.EngineKept):
                 well = replace(
--- a/saffronlane/knowledge/kept.py
+++ b/saffronlane/knowledge/kept.py
@@ -14,6 +14,7 @@
 
 from .. import interface as api
 from ..storage import Change, Entry
+from .errors import Newer, Unreadable
 
 Times: TypeAlias = list[float]
 NEVER = -1e12  # a time that was never: long before any clock's start, and finite, as files want it
@@ -143,14 +144,6 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-class Unreadable(Exception):
-    """An entry that cannot be used; the text names its key."""
-
-
-class Newer(Unreadable):
-    """Written by a later version: left in place for it."""
-
-
 def kind_of(key: bytes) -> bytes | None:
     """The kind of value that a key holds; None: not one of ours."""
     if key in (RUN, BUDGET, FLEET, TOLD):
--- a/saffronlane/knowledge/recall.py
+++ b/saffronlane/knowledge/recall.py
@@ -18,6 +18,7 @@
 from . import export, weigh
 from . import kept as k
 from .clock import Gap, Moment, between
+from .errors import Newer, Unreadable
 from .ledger import Ledger
 from .rebase import Rebase
 
@@ -63,9 +64,9 @@
         self.newer: frozenset[bytes] = frozenset()  # keys that a later version wrote
         values: dict[bytes, k.Kept] = {}
         for key, value in k.decode_all(memory.entries):
-            if isinstance(value, k.Unreadable):
+            if isinstance(value, Unreadable):
                 self.summary.notes.append(str(value))
-                if isinstance(value, k.Newer):
+                if isinstance(value, Newer):
                     self.newer |= {key}
             else:
                 values[key] = value
--- a/saffronlane/knowledge_cli.py
+++ b/saffronlane/knowledge_cli.py
@@ -18,6 +18,7 @@
 from .knowledge import Memory, Moment, Recall, weigh
 from .knowledge import kept as k
 from .knowledge.clock import between
+from .knowledge.errors import Unreadable
 from .knowledge.forget import What, in_entries
 from .storage import FolderBusy, FolderLock, RealFiles, Recovery, Store, StoreFailed, recover
 from .storage.files import LOCK_NAME, place_of
@@ -46,7 +47,7 @@
 def _values(found: Recovery) -> tuple[dict[bytes, k.Kept], list[str]]:
     values, problems = {}, []
     for key, value in k.decode_all(sorted(found.state.items())):
-        if isinstance(value, k.Unreadable):
+        if isinstance(value, Unreadable):
             problems.append(str(value))
         else:
             values[key] = value
--- a/saffronlane/lab/day.py
+++ b/saffronlane/lab/day.py
@@ -19,7 +19,8 @@
 import numpy as np
 
 from ..config import Config, parse_config
-from ..config.check import ConfigError, Problem, load_json, problems_of
+from ..config.check import Problem, load_json, problems_of
+from ..config.errors import ConfigError
 from .audit import Audit, Event, Report
 from .clients import AdbcClient, Asker, Query
 from .engine import EngineConfig, Keys, StandIn
--- a/saffronlane/members/file.py
+++ b/saffronlane/members/file.py
@@ -10,6 +10,7 @@
 
 from ..config import Config, ConfigError, EngineRecord, parse_engines
 from ..config.check import load_json
+from ..errors import told
 
 log = structlog.get_logger()
 Stamp = tuple[int, int, int]
@@ -34,11 +35,11 @@
             again = self._stamp_of(path)
             version, records = parse_engines(value, self._config, str(path))
         except OSError as error:
-            self._complain(f"{path}: cannot be read: {error.strerror}")
+            self._complain(f"{path}: cannot be read: {error.strerror}", error)
             return False
         except ConfigError as error:
             # Half written, or wrong: the list before stays good, and the next look reads it again.
-            self._complain(str(error))
+            self._complain(str(error), error)
             return False
         if again == stamp:  # else it was being written: what was read counts, and is looked at again
             self._stamp = stamp
@@ -51,10 +52,10 @@
         status = path.stat()
         return status.st_mtime_ns, status.st_size, status.st_ino
 
-    def _complain(self, text: str) -> None:
+    def _complain(self, text: str, error: Exception) -> None:
         if text != self._last_problem:
             self._last_problem = text
-            log.warning("engine list not used, the last good one stays", why=text)
+            log.warning("engine list not used, the last good one stays", **told(error) | {"why": text})
 
     async def watch(self) -> None:
         while True:
--- a/saffronlane/msgpackrpc/messages.py
+++ b/saffronlane/msgpackrpc/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from .errors import Malformed
+
 REQUEST, RESPONSE, NOTIFY = 0, 1, 2
 _Id = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 _Head = tuple[int, _Id, msgspec.Raw, msgspec.Raw]
@@ -20,14 +22,6 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-class Malformed(Exception):
-    """A whole message that is no call as agreed; `id` where an error can be answered."""
-
-    def __init__(self, text: str, msgid: int | None = None) -> None:
-        super().__init__(text)
-        self.id = msgid
-
-
 @dataclass(frozen=True, slots=True)
 class Call:
     id: int
--- a/saffronlane/msgpackrpc/scanner.py
+++ b/saffronlane/msgpackrpc/scanner.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from .errors import ScanError
+
 _FIXED = {0xC0: 0, 0xC2: 0, 0xC3: 0, 0xCA: 4, 0xCB: 8}
 _FIXED |= {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8, 0xD0: 1, 0xD1: 2, 0xD2: 4, 0xD3: 8}
 _FIXED |= {0xD4: 2, 0xD5: 3, 0xD6: 5, 0xD7: 9, 0xD8: 17}  # ext with a fixed length
@@ -15,10 +17,6 @@
 _COUNTED = {0xDC: (2, 1), 0xDD: (4, 1), 0xDE: (2, 2), 0xDF: (4, 2)}  # arrays and maps: items an entry
 
 
-class ScanError(Exception):
-    """What comes is no message, or one past the bounds. The bytes after it cannot be read."""
-
-
 class Scanner:
     """Cuts a stream of bytes into whole messages.
 
--- a/saffronlane/params.py
+++ b/saffronlane/params.py
@@ -11,17 +11,20 @@
 from typing import TypeVar
 
 from . import interface as api
+from .errors import SaffronlaneError
 
 EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 
 C = TypeVar("C", bound=Enum)
 
 
-class SettingsError(Exception):
+class SettingsError(SaffronlaneError):
     """A setting is missing or odd; `path` names it, with dots."""
 
+    remedy = "Correct the setting that the text names."
+
     def __init__(self, path: str, text: str) -> None:
-        super().__init__(text)
+        super().__init__(text, place=path)
         self.path = path
 
 
--- a/saffronlane/platform/__main__.py
+++ b/saffronlane/platform/__main__.py
@@ -11,7 +11,8 @@
 import structlog
 
 from .. import logs
-from .config import ConfigError, load
+from .config import load
+from .errors import ConfigError
 from .node import serve
 
 
--- a/saffronlane/platform/config.py
+++ b/saffronlane/platform/config.py
@@ -10,14 +10,11 @@
 
 from .. import params
 from ..interface import Settings
+from .errors import ConfigError
 
 Address = tuple[str, int]
 
 
-class ConfigError(Exception):
-    """The file cannot be used; the text is one line that names the JSON pointer."""
-
-
 class _Limits(msgspec.Struct):
     sockets: int = 1024
     memory_mb: float = 192.0
--- a/saffronlane/platform/feed.py
+++ b/saffronlane/platform/feed.py
@@ -12,7 +12,9 @@
 import structlog
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
+from ..errors import told
 from .config import Address, FeedEvent, Members
+from .errors import FeedBroken
 
 log = structlog.get_logger()
 MOST_LINE = 1_048_576  # bytes; a whole list of a thousand nodes is a fifth of it
@@ -22,10 +24,6 @@
 _EVENT = msgspec.json.Decoder(FeedEvent)
 
 
-class FeedBroken(Exception):
-    """This connection is of no use any more."""
-
-
 class Feed:
     """Follows the feed until it is closed.
 
@@ -70,7 +68,7 @@
             try:
                 heard = await self._session()
             except (OSError, TimeoutError, StreamClosedError, UnsatisfiableReadError, FeedBroken) as error:
-                log.warning("control feed broke", address=self.address, last=self.last, why=repr(error))
+                log.warning("control feed broke", address=self.address, last=self.last, **told(error))
             finally:
                 if self._stream is not None:
                     self._stream.close()
--- a/saffronlane/platform/fleet.py
+++ b/saffronlane/platform/fleet.py
@@ -6,8 +6,10 @@
 
 import structlog
 
+from ..errors import told
 from ..interface import EngineEntry, EngineState, ListMode, ListUpdate, Settings
-from .config import Address, ConfigError, Member, Members, address
+from .config import Address, Member, Members, address
+from .errors import ConfigError
 
 log = structlog.get_logger()
 STATES = {"up": EngineState.READY, "draining": EngineState.DRAINING, "removed": EngineState.GONE}
@@ -35,7 +37,7 @@
         entry = self._listed.get(engine)
         return None if entry is None else entry[0]
 
-    def take(self, told: Members) -> tuple[ListUpdate, list[bytes]]:
+    def take(self, event: Members) -> tuple[ListUpdate, list[bytes]]:
         """One event of the feed: the update of the list, and the nodes that went with it.
 
         A member that cannot be read is left out and logged: the others must not wait for it.
@@ -43,23 +45,23 @@
         before = set(self._listed)
         named: set[bytes] = set()
         entries = []
-        for member in told.members:
+        for member in event.members:
             name = member.id.encode()
             try:
                 entry = self._entry(name, member)
             except ConfigError as error:
-                log.error("member left out", member=member.id, why=str(error))
+                log.error("member left out", member=member.id, **told(error))
                 continue
             entries.append(entry)
             if entry.state is EngineState.GONE:
                 self._listed.pop(name, None)
             else:
                 named.add(name)
-        if told.complete:
+        if event.complete:
             for name in before - named:
                 self._listed.pop(name, None)
-        mode = ListMode.FULL if told.complete else ListMode.DELTA
-        return ListUpdate(mode, told.revision, tuple(entries)), sorted(before - set(self._listed))
+        mode = ListMode.FULL if event.complete else ListMode.DELTA
+        return ListUpdate(mode, event.revision, tuple(entries)), sorted(before - set(self._listed))
 
     def _entry(self, name: bytes, member: Member) -> EngineEntry:
         state = STATES.get(member.phase)
@@ -68,12 +70,12 @@
         kind = self._kinds.get(member.flavor)
         if kind is None and state is not EngineState.GONE:
             raise ConfigError(f"/flavor: unknown: {member.flavor!r}")
-        told = max(0.0, member.up_since_ms) / 1000.0
+        wall = max(0.0, member.up_since_ms) / 1000.0
         _, before, started = self._listed.get(name, (None, 0.0, 0.0))
-        if told != before:
-            age = max(0.0, self._wall() - told) if told else 0.0  # a start in the future counts as now
-            started = max(1e-6, self._monotonic() - age) if told else 0.0
+        if wall != before:
+            age = max(0.0, self._wall() - wall) if wall else 0.0  # a start in the future counts as now
+            started = max(1e-6, self._monotonic() - age) if wall else 0.0
         if state is not EngineState.GONE:
-            self._listed[name] = (address(member.host_port, "/host_port"), told, started)
+            self._listed[name] = (address(member.host_port, "/host_port"), wall, started)
         zone = self._zones.get(member.locality, 0)
         return EngineEntry(name, state, started, zone, kind or 0, member.cell, member.size)
--- a/saffronlane/platform/front.py
+++ b/saffronlane/platform/front.py
@@ -21,6 +21,7 @@
 from ..engines import Executor
 from ..interface import ClassSettings, Effect, Settings
 from .config import Address
+from .errors import BadRequest
 from .links import Statement
 from .tables import table_group
 
@@ -45,10 +46,6 @@
 MOST_WORK_MS, MOST_MEMORY_MB, MOST_DEADLINES = 1e9, 1e8, 10.0
 
 
-class BadRequest(Exception):
-    """A request that cannot be taken; the text names the field."""
-
-
 @dataclass(frozen=True, slots=True)
 class Asked:
     """A request read: what goes to compute nodes, and what the dispatcher is told."""
--- a/saffronlane/platform/links.py
+++ b/saffronlane/platform/links.py
@@ -21,6 +21,7 @@
 from ..interface import Outcome, ProbeResult
 from ..resp import Parser, command
 from .config import Address
+from .errors import Spoilt
 
 log = structlog.get_logger()
 CHUNK = 65_536
@@ -94,10 +95,6 @@
         return statement
 
 
-class _Spoilt(Exception):
-    """An answer that is not what the protocol allows."""
-
-
 def _fields(word: bytes) -> dict[bytes, bytes]:
     if word in (b"-", b""):
         return {}
@@ -106,7 +103,7 @@
 
 def _count(value: bytes | None, most: int) -> int:
     if value is None or not value.isdigit() or len(value) > 9 or int(value) > most:
-        raise _Spoilt(f"no count: {value!r}")
+        raise Spoilt(f"no count: {value!r}")
     return int(value)
 
 
@@ -123,11 +120,11 @@
     """Whole rows of three columns, as text. What is left of them without the columns' contents tells."""
     marks = page.translate(None, _CONTENTS)
     if len(page) > MOST_PAGE or marks != b"\t\t\n" * (len(marks) // 3) or page[-1:] not in (b"\n", b""):
-        raise _Spoilt("a page that is no whole rows")
+        raise Spoilt("a page that is no whole rows")
     try:
         page.decode()
     except UnicodeDecodeError:
-        raise _Spoilt("a page that is no text") from None
+        raise Spoilt("a page that is no text") from None
 
 
 class _Link:
@@ -412,9 +409,9 @@
             return
         try:
             if len(words) != 4:
-                raise _Spoilt(f"an answer of {len(words)} words")
+                raise Spoilt(f"an answer of {len(words)} words")
             self._on_word(sent, words[1], _fields(words[2]), words[3])
-        except _Spoilt as error:
+        except Spoilt as error:
             # Guards against a good answer's look-alike: what comes after it on this connection cannot be
             # trusted either, so that the others on it end now and not by their time-outs.
             sent.request.last_error = str(error)
@@ -432,12 +429,12 @@
         elif word == b"BROKE":
             self.ended(sent, Outcome.ERROR)
         else:
-            raise _Spoilt(f"unknown word {word[:20]!r}")
+            raise Spoilt(f"unknown word {word[:20]!r}")
 
     def _on_first(self, sent: _Sent, fields: dict[bytes, bytes], body: bytes) -> None:
         sheets = _count(fields.get(b"sheets", b"1"), MOST_RESULT)
         if not sheets or (sheets > 1 and not body):
-            raise _Spoilt(f"{sheets} pages")
+            raise Spoilt(f"{sheets} pages")
         _check_page(body)
         sent.work, sent.memory_mb = _figure(fields.get(b"toil")) / 1000.0, _figure(fields.get(b"room"))
         sent.sheets, sent.asked = sheets, 1
@@ -469,14 +466,14 @@
             return  # a second copy, or one that nobody asked for
         _check_page(body)
         if not body:
-            raise _Spoilt("an empty page")
+            raise Spoilt("an empty page")
         self._keep(sent, number, body)
 
     def _keep(self, sent: _Sent, number: int, body: bytes) -> None:
         sent.pages[number] = body
         sent.size += len(body)
         if sent.size > MOST_RESULT:
-            raise _Spoilt("a result of more bytes than any has")
+            raise Spoilt("a result of more bytes than any has")
         link, name = sent.link, sent.statement.id
         assert link is not None
         if len(sent.pages) == sent.sheets:
--- a/saffronlane/platform/node.py
+++ b/saffronlane/platform/node.py
@@ -13,9 +13,11 @@
 
 from .. import dispatch as d
 from ..engines import Executor
+from ..errors import told
 from ..interface import PeerMessage
 from ..peers import Peers
-from .config import ConfigError, Members, NodeConfig, load
+from .config import Members, NodeConfig, load
+from .errors import ConfigError
 from .feed import Feed
 from .fleet import Fleet
 from .front import Front
@@ -102,7 +104,7 @@
         try:
             config = load(self._path)
         except ConfigError as error:
-            log.error("configuration kept as it was", why=str(error))
+            log.error("configuration kept as it was", **told(error))
             return
         log.info("configuration read again", feed=config.feed)
         self.feed.move(config.feed)
--- a/saffronlane/resp/arrays.py
+++ b/saffronlane/resp/arrays.py
@@ -6,11 +6,9 @@
 
 from __future__ import annotations
 
-MOST_LINE = 12  # bytes of a line that says a count or a length, its end included
-
+from .errors import RespError
 
-class RespError(Exception):
-    """What comes is no array of bulk strings, or one past the bounds. What follows cannot be read."""
+MOST_LINE = 12  # bytes of a line that says a count or a length, its end included
 
 
 def command(*words: bytes) -> bytes:
--- a/saffronlane/rpc/__init__.py
+++ b/saffronlane/rpc/__init__.py
@@ -1,9 +1,10 @@
 """gRPC over HTTP/2: framing, metadata, deadlines, status; a server and a client on Tornado's loop."""
 
 from .client import Channel, ClientCall
+from .errors import RpcError
 from .metadata import Metadata
 from .server import Handler, Server, ServerCall
-from .status import Code, Ending, RpcError, Status
+from .status import Code, Ending, Status
 
 __all__ = [
     "Channel",
--- a/saffronlane/rpc/client.py
+++ b/saffronlane/rpc/client.py
@@ -22,8 +22,9 @@
 from ..http2.transport import Transport
 from . import framing
 from .call import Gate, Mailbox
+from .errors import RpcError
 from .metadata import Metadata, read_status, status_of_http, to_headers, write_timeout
-from .status import OK, Code, Ending, RpcError, Status
+from .status import OK, Code, Ending, Status
 
 
 class ClientCall:
--- a/saffronlane/rpc/server.py
+++ b/saffronlane/rpc/server.py
@@ -22,8 +22,9 @@
 from ..http2.transport import Transport
 from . import framing
 from .call import Gate, Mailbox
+from .errors import RpcError
 from .metadata import Metadata, read_timeout, status_headers, to_headers
-from .status import OK, Code, RpcError, Status
+from .status import OK, Code, Status
 
 log = structlog.get_logger()
 Handler = Callable[["ServerCall"], Awaitable[None]]
--- a/saffronlane/rpc/status.py
+++ b/saffronlane/rpc/status.py
@@ -8,6 +8,8 @@
 from google.protobuf.message import DecodeError
 from google.rpc import error_details_pb2, status_pb2
 
+from .errors import RpcError
+
 DOMAIN = "saffronlane"
 
 
@@ -79,14 +81,6 @@
 OK = Status(Code.OK)
 
 
-class RpcError(Exception):
-    """Ends a call with a status other than OK."""
-
-    def __init__(self, status: Status) -> None:
-        super().__init__(f"{status.code.name}: {status.message}")
-        self.status = status
-
-
 def error(code: Code, message: str, reason: str = "", **about: str) -> RpcError:
     """An error with a reason that programs can read (google.rpc.ErrorInfo)."""
     return RpcError(detailed(code, message, reason, None, about))
--- a/saffronlane/storage/__init__.py
+++ b/saffronlane/storage/__init__.py
@@ -1,9 +1,10 @@
 """A small crash-safe map on disk: log, snapshots, recovery. It knows nothing of what is kept in it."""
 
-from .files import Files, FolderBusy, FolderLock, Handle, RealFiles
+from .errors import FolderBusy, StoreFailed
+from .files import Files, FolderLock, Handle, RealFiles
 from .format import Change, Entry, StoredMap
 from .recovery import Recovery, recover
-from .store import Store, StoreFailed, StoreLimits
+from .store import Store, StoreLimits
 from .writer import Writer, WriterStatus
 
 __all__ = [
--- a/saffronlane/storage/files.py
+++ b/saffronlane/storage/files.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Protocol
 
+from .errors import FolderBusy
+
 LOCK_NAME = "lock"
 
 
@@ -123,10 +125,6 @@
             os.close(fd)
 
 
-class FolderBusy(Exception):
-    """Another process has the folder; the text says which, as far as it is known."""
-
-
 def place_of(lock: os.stat_result) -> str:
     """Names a folder by its lock's own file: one that was copied or restored has another."""
     return f"{lock.st_dev:x}.{lock.st_ino:x}"
--- a/saffronlane/storage/format.py
+++ b/saffronlane/storage/format.py
@@ -16,6 +16,8 @@
 import google_crc32c
 from rpds import HashTrieMap
 
+from .errors import Damaged
+
 MAGIC = b"SFLKEEP\n"
 FORMAT = 1
 LOG, SNAPSHOT = 1, 2  # kinds of file
@@ -47,10 +49,6 @@
 StoredMap: TypeAlias = "HashTrieMap[bytes, Entry]"
 
 
-class Damaged(Exception):
-    """The bytes are not what the format says; the text names the place."""
-
-
 @dataclass(frozen=True, slots=True)
 class Name:
     """What a file's name says of it."""
--- a/saffronlane/storage/recovery.py
+++ b/saffronlane/storage/recovery.py
@@ -11,6 +11,7 @@
 from rpds import HashTrieMap
 
 from . import format as fmt
+from .errors import Damaged
 from .files import Files
 
 TRIES = 4  # a live folder may be compacted while it is read
@@ -88,7 +89,7 @@
         self._out.sizes[name] = len(data)
         try:
             parsed = fmt.parse(data)
-        except fmt.Damaged as error:
+        except Damaged as error:
             self._out.dropped.append(f"{name}: {error}")
             return None
         if parsed.format > fmt.FORMAT:
@@ -114,7 +115,7 @@
         try:
             for one in entries:
                 state = fmt.applied(state, fmt.unpack_changes(one.payload))
-        except fmt.Damaged as error:
+        except Damaged as error:
             self._out.dropped.append(f"{name}: {error}")
             return False
         if end.payload != len(state).to_bytes(8, "big"):
@@ -132,7 +133,7 @@
             if one.type == fmt.BATCH:  # types of a later minor version are passed over
                 try:
                     changes = list(fmt.unpack_changes(one.payload))
-                except fmt.Damaged as error:
+                except Damaged as error:
                     out.dropped.append(f"{name}: record {one.sequence}: {error}")
                     return
                 out.state = fmt.applied(out.state, changes)
--- a/saffronlane/storage/store.py
+++ b/saffronlane/storage/store.py
@@ -16,6 +16,7 @@
 from rpds import HashTrieMap
 
 from . import format as fmt
+from .errors import StoreFailed
 from .files import Files, Handle
 from .recovery import Recovery, recover
 
@@ -33,10 +34,6 @@
     most: int = 1_073_741_824  # of all files; past it the store fails, and says so
 
 
-class StoreFailed(Exception):
-    """The store cannot keep anything now. `Store.repair` tries with fresh files."""
-
-
 class Store:
     """The owner's view. `load`, then `begin`; then `commit` and `work` in any order.
 
--- a/saffronlane/storage/writer.py
+++ b/saffronlane/storage/writer.py
@@ -11,8 +11,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from .errors import StoreFailed
 from .format import Change, Entry
-from .store import Store, StoreFailed
+from .store import Store
 
 Done = Callable[[bool], None]
 Tell = Callable[[str], None]
