--- a/saffronlane/lab/model.py
+++ b/saffronlane/lab/model.py
@@ -18,6 +18,8 @@
     warm_after: float = 0.0
     fall_multiple: float = 0.0  # 0: it never falls over
     fall_window: float = 0.0
+    knee: float = math.inf  # threads a core past which less is done in all
+    thrash: float = 0.0  # how much less: each thread a core past the knee takes this part of what is left
 
 
 @dataclass(slots=True, eq=False)
@@ -64,7 +66,9 @@
         threads = sum(run.threads for run in self.running)
         capacity = self.capacity(now)
         single = capacity / self.shape.cores
-        return 0.0 if self.hung or not threads else min(single, capacity / threads)
+        past = max(0.0, threads / self.shape.cores - self.shape.knee)
+        able = capacity / (1.0 + self.shape.thrash * past)
+        return 0.0 if self.hung or not threads else min(single, able / threads)
 
     def collect(self) -> list[Run]:
         """The runs that have ended since it was last asked, whatever made time pass."""
