--- a/saffronlane/policy/answering/__init__.py
+++ b/saffronlane/policy/answering/__init__.py
@@ -1,1 +0,0 @@
-"""Final answers, attempts and their outcomes, repeats."""
--- a/saffronlane/policy/gateway.py
+++ b/saffronlane/policy/gateway.py
@@ -1,8 +1,7 @@
 """Settings, events, actions: see `saffronlane/interface.py`. This package makes every decision of a gateway.
 
-The ordinary path is group EDF: a deadline is arrival + MULTIPLIER x ExecTime; while own work is under share,
-the earliest deadline names a group and its smallest query leaves first, to the less loaded of the first two
-engines in its table group's hash order. A held query whose time has lapsed is refused.
+The ordinary path is group EDF: a deadline is arrival + 10 x ExecTime; the earliest names a group, whose
+smallest query goes to the less loaded of the first two in its tables' hash order. What has lapsed is refused.
 """
 
 import math
@@ -10,7 +9,7 @@
 from typing import Any
 
 from .. import interface as api
-from ..state import Attempt, Batch, Fleet
+from ..state import Attempt, Batch, Fleet, Overdue
 from .answering.answers import Answers
 from .answering.attempts import Attempts
 from .answering.repeating import Repeating
@@ -62,6 +61,8 @@
         whom = self.batch.timers.pop(event.token, None)
         if isinstance(whom, Attempt):
             self.repeating.look_after(whom)
+        elif isinstance(whom, Overdue):
+            self.telling.overdue(whom.attempt)
         elif whom is not None and not whom.streaming:
             self.answers.finish(whom)
 
--- a/saffronlane/policy/health/verdicts.py
+++ b/saffronlane/policy/health/verdicts.py
@@ -99,8 +99,8 @@
         engine.next_trial = self.batch.now + engine.trial_gap * self.batch.random.uniform(0.8, 1.2)
 
     def trust(self) -> None:
-        before, ill = self.distrust, sum(e.ill and not e.silent for e in self.fleet.ready)
-        self.distrust = ill > ILL_SHARE * len(self.fleet.ready)
+        before, ready = self.distrust, self.fleet.ready
+        self.distrust = sum(e.ill and not e.silent for e in ready) > ILL_SHARE * len(ready)
         if self.distrust != before:
             text = "most engines look ill, verdicts ignored" if self.distrust else "verdicts hold again"
             self.batch.do(api.Log(text))
--- a/saffronlane/policy/learning/__init__.py
+++ b/saffronlane/policy/learning/__init__.py
@@ -1,1 +0,0 @@
-"""What answers and reports teach: ExecTime, work, memory needed, load."""
--- a/saffronlane/policy/placing/cold.py
+++ b/saffronlane/policy/placing/cold.py
@@ -1,35 +1,33 @@
 """Rule 4: what an engine that has just started can take."""
 
-import math
-
 from ...state import Batch, Engine, Job
 from ..learning.classes import Classes
 
 BUSY = 0.85  # share of busy cores at which an engine does what it can
 COLD_MARGIN = 0.85  # use only this share of a cold engine's budget: a query's work is but estimated
 COLD_CHANCE = 0.42  # the same where a part is less than a query: two turns' worth may fall into a window
-COLD_LARGEST = 0.1  # largest query for a cold engine, of its budget: a few of them must not fill it by chance
+COLD_LARGEST = 0.33  # largest query for a cold engine, of its budget: all turns and one more fit
 
 
 def cold_room(batch: Batch, classes: Classes, engine: Engine, job: Job) -> bool:
-    """Rule 4: our part of a cold engine's budget, whatever becomes of the work sent.
+    """Rule 4: our part of a cold engine's budget, which grows as it warms, whatever becomes of the work sent.
 
     Where a part is less than a query, whole ones leave in turns of one window, spread by position: all
     whose turns meet a window fit it, whoever saved up or restarted. Harmful where work is mislearned.
     """
     rules, now, settings = batch.rules, batch.now, batch.settings
-    if not rules.fall_multiple or not engine.coldness(now, rules.cold_time):
+    if not rules.fall_multiple or not engine.cold(now, rules.cold_time):
         return True
     work, window, start = classes.work(job), rules.fall_window, engine.cold_start(now)
     if start < batch.born and now < batch.born + window:  # sends before a restart are not remembered
         return False
-    budget = BUSY * rules.fall_multiple * rules.cold_share * engine.cores * window
-    part = COLD_MARGIN * budget / settings.gateways
+    bears, span = BUSY * rules.fall_multiple, engine.warm_cores(now - window, rules) * window
+    part = COLD_MARGIN * bears * span / settings.gateways
     if work <= part:
         since = now - window - settings.tick
         return work + sum(other for at, other in engine.sent if at >= since) <= part
-    pace = settings.gateways * window / (COLD_CHANCE * budget)  # seconds between turns, for a second of work
-    turn = (now - start) / (pace * work) - engine.luck - settings.position / settings.gateways
-    last, before = engine.sent[-1] if engine.sent else (-math.inf, 0.0)
-    rested = now >= last + pace * before - window
-    return rested and work <= COLD_LARGEST * budget and turn % 1.0 * pace * work < window
+    pace = settings.gateways / (COLD_CHANCE * bears)  # core seconds between turns, for a second of work
+    done, (last, before) = engine.cold_done(now, rules), engine.sent[-1] if engine.sent else (start, 0.0)
+    rested = done >= engine.cold_done(last, rules) + pace * before - span
+    turn = done / (pace * work) - engine.luck - settings.position / settings.gateways
+    return rested and work <= COLD_LARGEST * bears * span and turn % 1.0 * pace * work < span
--- a/saffronlane/policy/placing/place.py
+++ b/saffronlane/policy/placing/place.py
@@ -31,11 +31,13 @@
         if not fleet.cores or not self.pressure.admits(job):
             return None
         threads, lately = self.own.threads + self.told.threads, self.own.recent.read(now, HORIZON)
-        for engine in fleet.ready if now < fleet.last_cold else ():  # turns are short
-            room = SPILL * engine.warm_cores(now, rules) / fleet.cores * threads + job.cls.threads
-            cold = engine.coldness(now, rules.cold_time) and engine.threads <= room  # else it would jam
-            if cold and next(usable(job, True, [engine]), None):
-                return engine
+        apart = self.batch.settings.position + 1  # turns are short; in one order, all would crowd its first
+        for engine in self.rooms.order(job.tables, apart) if now < fleet.last_cold else ():
+            if engine.cold(now, rules.cold_time):
+                room = SPILL * engine.warm_cores(now, rules) / fleet.cores * threads + job.cls.threads
+                spare = engine.threads + engine.told_threads <= room  # else it would jam
+                if spare and next(usable(job, True, [engine]), None):
+                    return engine
         query = self.rooms.classes.work(job) / HORIZON
         for strict in (True, False):
             last = least = None
--- a/saffronlane/policy/releasing/__init__.py
+++ b/saffronlane/policy/releasing/__init__.py
@@ -1,1 +0,0 @@
-"""When a held query leaves or is refused: group EDF, pressure, what may be repeated."""
--- a/saffronlane/policy/releasing/permits.py
+++ b/saffronlane/policy/releasing/permits.py
@@ -13,8 +13,7 @@
     def extra(self, job: Job) -> bool:
         """Rule 7: a sliding window over served requests and further attempts, checked at each of the latter.
 
-        Only what was served widens it: nothing else is sure to be a usual client's. An attempt counts from
-        when it left until it may have come at the latest. What is free may have been used before a restart.
+        Only what was served widens it: all else may be no usual client's. What is free may be used already.
         """
         rules, ration, now = self.rules, self.ration, self.batch.now
         if len(job.attempts) <= job.earlier or rules.budget_free is None:
--- a/saffronlane/policy/telling/__init__.py
+++ b/saffronlane/policy/telling/__init__.py
@@ -1,1 +0,0 @@
-"""What gateways tell each other."""
--- a/saffronlane/policy/telling/telling.py
+++ b/saffronlane/policy/telling/telling.py
@@ -2,7 +2,7 @@
 
 from ... import interface as api
 from ... import messages
-from ...state import Attempt, Batch, Engine, Fleet, ToldBoard
+from ...state import Attempt, Batch, Engine, Fleet, Overdue, ToldBoard
 from ..learning.classes import HEAVY, Classes
 from ..placing.rooms import FULL_MEMORY
 
@@ -20,16 +20,23 @@
         self.batch.do(api.Tell(None, messages.encode(message)))
 
     def started(self, attempt: Attempt) -> None:
-        job, engine, classes = attempt.job, attempt.engine, self.classes
+        job, classes, work = attempt.job, self.classes, self.classes.work(attempt.job)
         bar = len(self.board.entries) / TOLD_MANY * HEAVY * classes.usual()[0]
-        light = classes.work(job) < bar and not job.cls.is_load
-        if light or not self.batch.limits.peers or not classes.heavy(job):
-            return
-        self.number = attempt.told = (self.number + 1) % 256
-        span = TOLD_PATIENCE * classes.work(job) / job.cls.threads * classes.learned[job.index].best
+        if self.batch.limits.peers and classes.heavy(job) and (work >= bar or job.cls.is_load):
+            self.number = attempt.told = (self.number + 1) % 256
+            self.tell(attempt, TOLD_PATIENCE * work / job.cls.threads * classes.learned[job.index].best)
+
+    def tell(self, attempt: Attempt, span: float) -> None:
+        job, engine = attempt.job, attempt.engine
         share = attempt.grant / engine.memory_size if engine.memory_size else 0.0
-        what = attempt.told, attempt.threads, job.cls.is_load, job.tables, span, share, engine.id
+        what = attempt.told or 0, attempt.threads, job.cls.is_load, job.tables, span, share, engine.id
         self.say(messages.start(*what))
+        self.batch.timer(self.batch.now + span, Overdue(attempt))
+
+    def overdue(self, attempt: Attempt) -> None:
+        """Still out: told again, for twice as long. Guards against engines that look empty while they jam."""
+        if attempt.outcome is None:
+            self.tell(attempt, 2.0 * (self.batch.now - attempt.sent))
 
     def ended(self, attempt: Attempt) -> None:
         if attempt.told is not None:
--- a/saffronlane/state/__init__.py
+++ b/saffronlane/state/__init__.py
@@ -4,7 +4,7 @@
 from .engines import Engine
 from .fleet import Fleet, OwnWork
 from .records import ClassRecord
-from .requests import NEVER_RAN, Attempt, Job, Owed, Turns
+from .requests import NEVER_RAN, Attempt, Job, Overdue, Owed, Turns
 from .told import Told, ToldBoard
 from .windows import Bucket, Ration, Recent, Window, sane
 
@@ -17,6 +17,7 @@
     "Engine",
     "Fleet",
     "Job",
+    "Overdue",
     "Owed",
     "OwnWork",
     "Ration",
--- a/saffronlane/state/batch.py
+++ b/saffronlane/state/batch.py
@@ -9,7 +9,7 @@
 from .. import interface as api
 
 if TYPE_CHECKING:
-    from .requests import Attempt, Job
+    from .requests import Attempt, Job, Overdue
 
 
 class Batch:
@@ -20,7 +20,7 @@
         self.random = Random(seed)
         self.now, self.born = 0.0, math.inf  # seconds; of this batch, and of the first one
         self.actions: list[api.Action] = []
-        self.timers: dict[int, Job | Attempt | None] = {}  # None: housekeeping
+        self.timers: dict[int, Job | Attempt | Overdue | None] = {}  # None: housekeeping
         self._next_token = 1
 
     def begin(self, now: float) -> None:
@@ -30,7 +30,7 @@
     def do(self, action: api.Action) -> None:
         self.actions.append(action)
 
-    def timer(self, at: float, whom: Job | Attempt | None) -> None:
+    def timer(self, at: float, whom: Job | Attempt | Overdue | None) -> None:
         token, self._next_token = self._next_token, self._next_token + 1
         self.timers[token] = whom
         self.actions.append(api.SetTimer(token, at))
--- a/saffronlane/state/engines.py
+++ b/saffronlane/state/engines.py
@@ -48,14 +48,26 @@
         told = min(self.started, now) if self.started > 0.0 else -math.inf
         return max(told, self.reborn_at)
 
+    def cold(self, now: float, cold_time: float) -> bool:
+        return now < self.reborn_at + cold_time or 0.0 < self.started > now - cold_time
+
     def coldness(self, now: float, cold_time: float) -> float:
         """1 at its start, 0 after the cold time."""
-        return sane(1.0 - (now - self.cold_start(now)) / cold_time, 0.0, 1.0) if cold_time > 0.0 else 0.0
+        if cold_time <= 0.0 or not self.cold(now, cold_time):
+            return 0.0
+        return sane(1.0 - (now - self.cold_start(now)) / cold_time, 0.0, 1.0)
 
     def warm_cores(self, now: float, rules: api.Guarantees) -> float:
         """Cores, a cold one's counted by the share of the work that it then does."""
+        if not self.cold(now, rules.cold_time):
+            return self.cores
         return self.cores * (1.0 - self.coldness(now, rules.cold_time) * (1.0 - rules.cold_share))
 
+    def cold_done(self, now: float, rules: api.Guarantees) -> float:
+        """Core seconds that it could do since it started cold, by the settings; it warms evenly with time."""
+        age, share = now - self.cold_start(now), rules.cold_share
+        return self.cores * (share * age + (1.0 - share) * max(0.0, age) ** 2 / (2.0 * rules.cold_time))
+
     def broke(self, now: float, refused: bool) -> bool:
         """A connection to it failed or broke; whether that is news: all that one carried breaks at once."""
         news, self.broke_at, self.refused = self.broke_at < now, now, self.refused or refused
--- a/saffronlane/state/requests.py
+++ b/saffronlane/state/requests.py
@@ -30,6 +30,13 @@
     cancelled: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """A timer's subject: what was told of the attempt counts no longer at the others."""
+
+    attempt: Attempt
+
+
 class Job:
     """One request of a client."""
 
