--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -15,9 +15,11 @@
 
 import msgspec
 
-from saffronlane.lab.fleet.play import play
-from saffronlane.lab.fleet.schedule import Schedule, draw, shrink
-from saffronlane.lab.fleet.shape import FleetShape
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from saffronlane.lab.fleet.play import play  # noqa: E402
+from saffronlane.lab.fleet.schedule import Schedule, draw, shrink  # noqa: E402
+from saffronlane.lab.fleet.shape import FleetShape  # noqa: E402
 
 
 def main() -> int:
--- a/saffronlane/lab/fleet/launch.py
+++ b/saffronlane/lab/fleet/launch.py
@@ -77,4 +77,5 @@
 def dispatcher(name: str, config: Path, folder: Path) -> Child:
     """One dispatcher, started as an operator would."""
     command = [sys.executable, "-m", "saffronlane.platform"]
-    return Child(name, command, {"BALANCER_CONFIG": str(config)}, folder)
+    where = str(Path(__file__).parents[3])  # this very program, whatever else is installed
+    return Child(name, command, {"BALANCER_CONFIG": str(config), "PYTHONPATH": where}, folder)
--- a/saffronlane/lab/fleet/shape.py
+++ b/saffronlane/lab/fleet/shape.py
@@ -31,6 +31,11 @@
     Sort("report", 0.13, 0.6, 1.5, 10.0, threads=3, worth=10.0, late_worth=0.4),
     Sort("load", 0.05, 0.5, 2.0, 10.0, threads=2, worth=12.0, late_worth=0.5, keyed=True),
 )
+HEAVY_SORTS = (  # most of the work comes in few large queries, so that one wrong place is a jam
+    Sort("look-up", 0.82, 0.13, 0.75, 4.0, stretch=1.5),
+    Sort("report", 0.13, 3.0, 2.0, 20.0, threads=3, worth=10.0, late_worth=0.4),
+    Sort("load", 0.05, 4.0, 4.0, 25.0, threads=2, worth=12.0, late_worth=0.5, keyed=True),
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/lab/fleet/virtual.py
+++ b/saffronlane/lab/fleet/virtual.py
@@ -254,6 +254,10 @@
             for node in struck:
                 self._pace(node, 2.0 + 8.0 * fault.size)
                 self.at(end, lambda node=node: self._pace(node, 1.0))  # type: ignore[misc]
+        elif fault.kind == "node hang":
+            for node in struck:
+                self._hang(node, True)
+                self.at(end, lambda node=node: self._hang(node, False))  # type: ignore[misc]
         elif fault.kind == "node errors":
             for node in struck:
                 node.errs = True
@@ -269,6 +273,11 @@
         node.machine.slow = slow
         self._plan(node)
 
+    def _hang(self, node: VirtualNode, on: bool) -> None:
+        node.machine.advance(self.now)
+        node.machine.hung = on
+        self._plan(node)
+
     def _lose(self, struck: list[VirtualNode], end: float, drained: bool) -> None:
         """They go, and come back cold under ids that are new; drained: each as its successor comes."""
         gone = [api.EngineEntry(node.name, api.EngineState.GONE) for node in struck]
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -7,20 +7,14 @@
 from saffronlane.lab.fleet.measures import Measures
 from saffronlane.lab.fleet.policies import Chooser, HashOrder, RandomChoice, TrueStateLate, TwoByOwnNews
 from saffronlane.lab.fleet.schedule import Fault, Schedule
-from saffronlane.lab.fleet.shape import FleetShape, Sort
+from saffronlane.lab.fleet.shape import HEAVY_SORTS, FleetShape
 from saffronlane.lab.fleet.virtual import VirtualFleet
 
-HEAVY = (  # most of the work comes in few large queries, so that one wrong place is a jam
-    Sort("look-up", 0.82, 0.13, 0.75, 4.0, stretch=1.5),
-    Sort("report", 0.13, 3.0, 2.0, 20.0, threads=3, worth=10.0, late_worth=0.4),
-    Sort("load", 0.05, 4.0, 4.0, 25.0, threads=2, worth=12.0, late_worth=0.5, keyed=True),
-)
-
 
 def play(
     seed: int, faults: tuple[Fault, ...] = (), chooser: Chooser | None = None, load: float = 0.65
 ) -> tuple[Measures, VirtualFleet]:
-    shape = FleetShape(40, 12, 8.0, load, groups=40, seed=seed, sorts=HEAVY)
+    shape = FleetShape(40, 12, 8.0, load, groups=40, seed=seed, sorts=HEAVY_SORTS)
     fleet = VirtualFleet(shape, Schedule(seed, 24.0, faults), chooser)
     return fleet.play(), fleet
 
