Heavy queries wait past 2 threads a core while answers are quick, past the share once not

Lines at fault: rooms.py, fits, one bar for quick and pressed fleets alike.

Change: the bar goes from the design's value for full (2) to the share (1.3) as the crowd felt goes from 1.5 to RELAXED. No new constant.

--- a/saffronlane/policy/placing/order.py
+++ b/saffronlane/policy/placing/order.py
@@ -1,4 +1,4 @@
-"""Rendezvous hash order of engines for each table group."""
+"""Rendezvous hash order of ready engines for a table group; without salt the same at every gateway."""
 
 from hashlib import blake2b
 
@@ -15,7 +15,6 @@
         self.crossing_costs = batch.settings.zone_price >= CROSSING
 
     def __call__(self, tables: float, salt: int = 0) -> list[Engine]:
-        """Rendezvous hash order of ready engines for a table group; the same at every gateway."""
         order = self.known.get((tables, salt))
         if order is None:
             name = repr((float(tables), salt)).encode()
--- a/saffronlane/policy/placing/place.py
+++ b/saffronlane/policy/placing/place.py
@@ -13,16 +13,16 @@
 class Placement:
     def __init__(self, reports: Reports, health: Health, told: ToldBoard) -> None:
         self.reports, self.batch, self.fleet, self.told = reports, reports.batch, reports.fleet, told
-        self.rooms, self.own = Rooms(reports.classes, health), OwnWork(len(self.batch.settings.classes))
+        self.own = OwnWork(len(self.batch.settings.classes))
         self.pressure = Pressure(self.own, reports)
+        self.rooms = Rooms(reports.classes, health, self.pressure)
 
     def load(self, engine: Engine) -> float:
         """Threads per core: own ones that are out or were lately kept busy, others' as told or reported."""
-        batch = self.batch
-        own = engine.threads + engine.recent.read(batch.now, HORIZON)
+        own = engine.threads + engine.recent.read(self.batch.now, HORIZON)
         load = own + engine.told_threads + self.reports.of(engine) * engine.cores
-        load /= engine.warm_cores(batch.now, batch.rules)
-        away = self.rooms.order.crossing_costs and engine.zone != batch.settings.zone
+        load /= engine.warm_cores(self.batch.now, self.batch.rules)
+        away = self.rooms.order.crossing_costs and engine.zone != self.batch.settings.zone
         return load * SPILL if away else load
 
     def place(self, job: Job) -> Engine | None:
--- a/saffronlane/policy/placing/rooms.py
+++ b/saffronlane/policy/placing/rooms.py
@@ -6,7 +6,7 @@
 from ...state import Engine, Job
 from ..health.verdicts import Health
 from ..learning.classes import Classes
-from ..releasing.pressure import SHARE_THREADS_PER_CORE
+from ..releasing.pressure import Pressure
 from .cold import cold_room
 from .order import Order
 
@@ -15,8 +15,8 @@
 
 
 class Rooms:
-    def __init__(self, classes: Classes, health: Health) -> None:
-        self.batch, self.classes, self.health = health.batch, classes, health
+    def __init__(self, classes: Classes, health: Health, pressure: Pressure) -> None:
+        self.batch, self.classes, self.health, self.pressure = health.batch, classes, health, pressure
         self.order = Order(health.batch, health.fleet)
 
     def allowed(self, engine: Engine, job: Job) -> bool:
@@ -33,9 +33,9 @@
     def fits(self, engine: Engine, job: Job, heavy: bool, need: float) -> bool:
         """Whether the engine has room; past its memory a query spills and does its work several times."""
         told, batch = self.batch.limits.peers, self.batch
-        if told and heavy:  # past the share less is done in all
+        if told and heavy:
             threads = engine.threads + engine.told_threads + job.cls.threads / 2.0
-            if threads > engine.warm_cores(batch.now, batch.rules) * SHARE_THREADS_PER_CORE:
+            if threads > engine.warm_cores(batch.now, batch.rules) * self.pressure.threads_per_core():
                 return False
         if engine.memory_size and (told or engine.memory):  # untold, a part of the memory is ours
             room = engine.memory_size * (TOLD_MEMORY if told else 1.0 / batch.settings.gateways)
--- a/saffronlane/policy/releasing/permits.py
+++ b/saffronlane/policy/releasing/permits.py
@@ -32,8 +32,7 @@
         return job.cls.effect is Effect.KEYED and self.batch.now <= first.sent + job.cls.key_ttl - TTL_MARGIN
 
     def expired(self, job: Job) -> bool:
-        tries = len(job.attempts) - job.earlier
-        return tries >= max(1, self.batch.limits.max_attempts) or not self.open(job)
+        return len(job.attempts) - job.earlier >= max(1, self.batch.limits.max_attempts) or not self.open(job)
 
     def repeat(self, job: Job) -> bool:
         return not (job.ended or job.streaming or self.expired(job)) and self.extra(job)
--- a/saffronlane/policy/releasing/pressure.py
+++ b/saffronlane/policy/releasing/pressure.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ...state import Engine, Job, OwnWork
+from ...state import Engine, Job, OwnWork, sane
 from ..learning.reports import Reports
 
 SHARE_THREADS_PER_CORE = 1.3  # share under full pressure, over the gateway count; below any knee
@@ -26,6 +26,11 @@
         threads = sum(threads for threads, known in out if threads and known.exec_time() <= own)
         return not threads or threads + job.cls.threads / 2.0 <= self.limit
 
+    def threads_per_core(self) -> float:
+        """Past which heavy queries wait: the design's value while answers are quick, the share once not."""
+        quick = sane(RELAXED - self.crowd, 0.0, 1.0)
+        return SHARE_THREADS_PER_CORE + quick * (PRESSED_THREADS - SHARE_THREADS_PER_CORE)
+
     def answered(self, engine: Engine, crowd: float, threads: float) -> None:
         """By the threads a core told with it, else by how late it was; a cold engine is slow, not crowded."""
         crowd = threads * PRESSED / PRESSED_THREADS if threads else crowd
--- a/saffronlane/policy/releasing/release.py
+++ b/saffronlane/policy/releasing/release.py
@@ -21,9 +21,7 @@
     def lapsed(self, job: Job) -> bool:
         """The design's refusal: now + ExecTime passes the query's, the class's or the client's limit."""
         known, blocked = self.answers.classes.learned[job.index], self.pressure.blocked
-        limit = min(job.deadline, job.limit - END_MARGIN)
-        if blocked and job.over:
-            return True
+        limit = min(job.deadline, job.limit - END_MARGIN) if not (blocked and job.over) else -math.inf
         if blocked and job.cls.late_value < LATE_WORTH:
             stretch = job.cls.aim_stretch * known.work(job.cost) / job.cls.threads
             limit = min(limit, job.arrival + job.cls.aim + stretch)
