The fleet's feed tells the record of an event once, not once a connection

Cause: each dispatcher's connection that got an event wrote it into the record for all dispatchers, entries times the square of their count; three fields of stand-ins were written and never read. Change: the first time that an event goes out counts, as the audit took it before; the fields are gone. Only lab/ is touched.

--- a/saffronlane/lab/fleet/feed.py
+++ b/saffronlane/lab/fleet/feed.py
@@ -31,13 +31,14 @@
 
     Args:
         address: where it listens.
-        on_told: told each event's entries as they are written to a dispatcher's connection.
+        on_told: told each event's entries once, when it first goes out: then it counts as told to all.
     """
 
     def __init__(self, address: Address, on_told: Callable[[list[Entry]], None]) -> None:
         self.address, self._on_told = address, on_told
         self.events: list[list[Entry]] = []
         self.silent = False  # stays open and says nothing
+        self._told = 0  # the last event that went out
         self._writers: dict[asyncio.StreamWriter, int] = {}  # and the last event written
         self._server: asyncio.Server | None = None
         self._beats: asyncio.TimerHandle | None = None
@@ -95,7 +96,9 @@
                 continue
             for number in range(last + 1, len(self.events) + 1):
                 writer.write(json.dumps({"n": number, "members": self._members(number)}).encode() + b"\n")
-                self._on_told(self.events[number - 1])
+                if number > self._told:
+                    self._told = number
+                    self._on_told(self.events[number - 1])
             self._writers[writer] = len(self.events)
 
     def _beat(self) -> None:
--- a/saffronlane/lab/fleet/nodes.py
+++ b/saffronlane/lab/fleet/nodes.py
@@ -57,8 +57,7 @@
         self.incarnation = 0
         self.machine = Machine(self._shape, -1e9)
         self.hung = self.errs = self.stalls = False
-        self.refused = self.connections = 0
-        self.busy_since: float | None = None
+        self.connections = 0
         self.queries: dict[Run, _Query] = {}
         self.links: set[_Link] = set()
         self._server: asyncio.Server | None = None
@@ -168,7 +167,6 @@
             return
         self.machine.advance(now)
         if len(self.machine.running) >= SLOTS * self._cores:
-            self.refused += 1
             record.add("refused", **named)
             link.say(rid, b"WAIT", b"-", b"")
             return
--- a/saffronlane/lab/fleet/virtual.py
+++ b/saffronlane/lab/fleet/virtual.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
 
 from ... import dispatch as d
 from ... import interface as api
@@ -49,7 +48,6 @@
     attempt: int
     engine: bytes
     at: float
-    named: dict[str, Any]
 
 
 @dataclass(eq=False)
@@ -196,8 +194,8 @@
     def _send(self, asking: Asking, place: int, request: int, attempt: int, engine: bytes) -> None:
         node = self.nodes[engine]
         self._met.add((place, engine))
-        named = self.record.sent(asking.rid, engine.decode(), 0)
-        out = _Out(asking, place, request, attempt, engine, self.now, named)
+        self.record.sent(asking.rid, engine.decode(), 0)
+        out = _Out(asking, place, request, attempt, engine, self.now)
         node.machine.advance(self.now)
         if node.gone:
             self.at(self.now + 0.001, lambda: self._tell_end(out, api.Outcome.CONNECT_FAILED))
