--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -226,12 +226,17 @@
         return self.start_role("usual", str(self.new_path("usual")), *words)
 
     async def start_crowd(
-        self, clients: int, requests_each: int, statement_bytes: int, method: str, budget_ms: int
+        self,
+        clients: int,
+        requests_each: int,
+        statement_bytes: int,
+        method: str,
+        budget_ms: int,
+        form: str = "note",
     ) -> subprocess.Popen[bytes]:
         """Start bad clients, which connect on `release` and go 20 s later."""
-        words = [
-            str(word) for word in (self.port, clients, requests_each, statement_bytes, method, budget_ms, 20)
-        ]
+        sizes = (self.port, clients, requests_each, statement_bytes, method, budget_ms, 20, form)
+        words = [str(word) for word in sizes]
         process = self.start_role("crowd", str(self.new_path("crowd")), *words)
         assert process.stdout is not None
         await asyncio.to_thread(process.stdout.readline)  # it has prepared its requests
