--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).parents[2]
 TENANTS = (("jordan-valley", 0.41), ("irbid-north", 0.33), ("karak-south", 0.26))
 READY_SECONDS = 30.0
+ESTABLISHED = "01"  # in /proc/net/tcp
 
 
 class CannotRun(Exception):
@@ -173,6 +174,25 @@
     return int(lines.get("RssAnon", "0 kB").split()[0]) * 1024 / 1e6
 
 
+def bytes_not_read(port: int) -> dict[int, int]:
+    """Return what the system holds for a server of this port that has not read it, by the client's port.
+
+    These are the bytes that the client's program has handed over; what it holds itself is not among them.
+    """
+    held: dict[int, int] = {}
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        words = line.split()
+        local, remote = (int(words[place].rpartition(":")[2], 16) for place in (1, 2))
+        to_send, to_read = (int(number, 16) for number in words[4].split(":"))
+        if words[3] != ESTABLISHED:
+            continue
+        if local == port:
+            held[remote] = held.get(remote, 0) + to_read
+        if remote == port:
+            held[local] = held.get(local, 0) + to_send
+    return held
+
+
 class World:
     """One case: its processes, their records, and the platform's check of the dispatcher's memory."""
 
