Review: case 1 fills a larger queue and rests no connection

Need: the case should hold where the system's buffers are larger, and its clients should not write on a connection that the dispatcher has closed as idle. Done: 50 long loads in place of 44, six small ones in place of eight, four connections before the burst.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -22,9 +22,9 @@
 QUIET_SECONDS = 14.0  # before the trouble; a load every quarter of a second
 HANG_SECONDS = 12.0
 STATEMENT_BYTES = 240_000
-LOADS_IN_A_BURST = 44  # half of them go to each node
-SMALL_LOADS = 8
-CONNECTIONS = 11
+LOADS_IN_A_BURST = 50  # half of them go to each node
+SMALL_LOADS = 6
+CONNECTIONS = 10
 
 
 def _load(connection: Connection, number: int, group: int, size: int) -> None:
@@ -48,9 +48,9 @@
     world.start_dispatcher(settings(**changes))
     await world.wait_until_ready()
     record = world.new_record("usual client")
-    connections = [await connect(world.port, record) for _ in range(CONNECTIONS)]
+    connections = [await connect(world.port, record) for _ in range(4)]
     for number in range(int(QUIET_SECONDS * 4)):
-        _load(connections[number % CONNECTIONS], number, number % 12, 1000)
+        _load(connections[number % 4], number, number % 12, 1000)
         await asyncio.sleep(0.25)
     await asyncio.sleep(2 * WORK)
     connections = [await connect(world.port, record) for _ in range(CONNECTIONS)]
