--- a/review/standins/crowd.py
+++ b/review/standins/crowd.py
@@ -1,7 +1,6 @@
 """Bad clients, in a process of their own: each connects and sends many requests at once, at full speed.
 
-Arguments: RECORD PORT CLIENTS REQUESTS STATEMENT_BYTES METHOD BUDGET_MS SECONDS FORM. FORM is `note`, a query
-with one long text, or `rows`, rows that are loaded into a table of the staging schema. All of them connect
+Arguments: RECORD PORT CLIENTS REQUESTS STATEMENT_BYTES METHOD BUDGET_MS SECONDS. All of them connect
 together, read what is sent to them, and go after SECONDS.
 """
 
@@ -43,19 +42,16 @@
         self._said["closed"] += 1
 
 
-def _statement(number: int, size: int, form: str) -> bytes:
-    if form == "rows":
-        row = b"(%d,'a',2.5)," % number
-        return (b"insert into staging.rows values " + row * (size // len(row)))[: size - 1] + b")"
+def _statement(number: int, size: int) -> bytes:
     start = b"select deck, learner from sales_%d.orders where note = '" % (number % 12)
     return start + b"x" * max(0, size - len(start) - 1) + b"'"
 
 
-def _requests(count: int, statement_bytes: int, method: str, budget_ms: int, form: str) -> list[bytes]:
+def _requests(count: int, statement_bytes: int, method: str, budget_ms: int) -> list[bytes]:
     requests = []
     for number in range(1, count + 1):
         fields = {"rid": secrets.token_hex(8), "budget": str(budget_ms), "acct": TENANTS[0]}
-        body = _statement(number, statement_bytes, form)
+        body = _statement(number, statement_bytes)
         requests.append(call(number, method, fields, body))
     return requests
 
@@ -66,7 +62,7 @@
     method, budget_ms, seconds = arguments[5], int(arguments[6]), float(arguments[7])
     loop = asyncio.get_running_loop()
     said: Counter[str] = Counter()
-    sets = [_requests(count, size, method, budget_ms, arguments[8]) for _ in range(clients)]
+    sets = [_requests(count, size, method, budget_ms) for _ in range(clients)]
     print("prepared", flush=True)
     sys.stdin.readline()
     record.add(
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -252,10 +252,9 @@
         statement_bytes: int,
         method: str,
         budget_ms: int,
-        form: str = "note",
     ) -> subprocess.Popen[bytes]:
         """Start bad clients, which connect on `release` and go 20 s later."""
-        sizes = (self.port, clients, requests_each, statement_bytes, method, budget_ms, 20, form)
+        sizes = (self.port, clients, requests_each, statement_bytes, method, budget_ms, 20)
         words = [str(word) for word in sizes]
         process = self.start_role("crowd", str(self.new_path("crowd")), *words)
         assert process.stdout is not None
