--- a/saffronlane/dispatch/action_handler.py
+++ b/saffronlane/dispatch/action_handler.py
@@ -66,6 +66,7 @@
             grant_mb=grant.memory_mb,
             priority=grant.priority,
             durability_timeout=self._policy.record_write_ahead(request, attempt),
+            send_timeout=action.send_timeout,
         )
         self._effects.append(effect)
 
--- a/saffronlane/dispatch/effects.py
+++ b/saffronlane/dispatch/effects.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from .. import interface as api
@@ -24,6 +25,7 @@
         priority: The priority at the engine, or None for no priority.
         durability_timeout: The seconds that the attempt waits for this step's write-ahead `Persist` before it
             is sent anyway, or 0 if it does not wait.
+        send_timeout: The seconds within which the attempt has to be sent; otherwise it ends as NOT_SENT.
     """
 
     request: int
@@ -33,6 +35,7 @@
     grant_mb: float = 0.0
     priority: int | None = None
     durability_timeout: float = 0.0
+    send_timeout: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/dispatch/recording_forms.py
+++ b/saffronlane/dispatch/recording_forms.py
@@ -3,7 +3,7 @@
 They are independent of the names in the code, so that renaming a class or field does not change the stored
 data. Each form lists the stored names of a class's fields in the order of their declaration. A field that is
 added at the end of a class needs a name here. A field that is added elsewhere, or removed, needs a new
-version of the recording format.
+version of the recording format. A field without a stored name (None) is not recorded.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
     """The stored name of a class, and the stored names of its fields in order."""
 
     name: str
-    fields: tuple[str, ...]
+    fields: tuple[str | None, ...]
 
 
 _SETTINGS = {
@@ -146,7 +146,7 @@
 }
 _EFFECTS = {
     effects.StartAttempt: RecordForm(
-        "StartAttempt", ("request", "attempt", "engine", "timeout", "grant_mb", "priority", "ahead")
+        "StartAttempt", ("request", "attempt", "engine", "timeout", "grant_mb", "priority", "ahead", None)
     ),
     effects.Persist: RecordForm("Keep", ("changes", "ahead")),
     effects.CancelAttempt: RecordForm("CancelAttempt", ("request", "attempt")),
--- a/saffronlane/dispatch/recording_schema.py
+++ b/saffronlane/dispatch/recording_schema.py
@@ -38,6 +38,15 @@
 _CODE_FIELD_NAMES: dict[type, tuple[str, ...]] = {
     record_type: _code_field_names(record_type) for record_type in FORMS
 }
+# The names of each recorded field: the stored one and the one in the code.
+_RECORDED_FIELDS: dict[type, list[tuple[str, str]]] = {
+    record_type: [
+        (stored, name)
+        for stored, name in zip(form.fields, _CODE_FIELD_NAMES[record_type], strict=True)
+        if stored is not None
+    ]
+    for record_type, form in FORMS.items()
+}
 _TYPE_HINTS: dict[type, dict[str, Any]] = {
     record_type: typing.get_type_hints(record_type) for record_type in FORMS
 }
@@ -46,10 +55,8 @@
 def encode(value: object) -> object:
     """Return settings, an input or a part of one as plain values with the stored names."""
     if type(value) in FORMS:
-        values = [encode(getattr(value, name)) for name in _CODE_FIELD_NAMES[type(value)]]
-        if isinstance(value, tuple):
-            return values
-        return dict(zip(FORMS[type(value)].fields, values, strict=True))
+        values = {stored: encode(getattr(value, name)) for stored, name in _RECORDED_FIELDS[type(value)]}
+        return list(values.values()) if isinstance(value, tuple) else values
     if isinstance(value, tuple):
         return [encode(part) for part in value]
     return value.value if isinstance(value, Enum) else value
@@ -82,10 +89,10 @@
 def describe(effect: object) -> str:
     """Return an effect as text with the stored names. Equal effects give equal texts."""
     if type(effect) in FORMS:
-        form = FORMS[type(effect)]
-        values = [describe(getattr(effect, name)) for name in _CODE_FIELD_NAMES[type(effect)]]
-        pairs = zip(form.fields, values, strict=True)
-        return f"{form.name}({', '.join(f'{name}={value}' for name, value in pairs)})"
+        pairs = [
+            f"{stored}={describe(getattr(effect, name))}" for stored, name in _RECORDED_FIELDS[type(effect)]
+        ]
+        return f"{FORMS[type(effect)].name}({', '.join(pairs)})"
     if isinstance(effect, tuple):
         return f"({', '.join(map(describe, effect))}{',' if len(effect) == 1 else ''})"
     return repr(effect)
@@ -121,7 +128,7 @@
         return [_with_code_names(part, hints[name]) for name, part in zip(names, encoded, strict=False)]
     if not isinstance(encoded, dict):
         return encoded
-    code_names: dict[str, str] = dict(zip(FORMS[record_type].fields, names, strict=True))
+    code_names = dict(_RECORDED_FIELDS[record_type])
     fields_by_code_name: dict[str, Any] = {}
     for name, part in encoded.items():
         code_name = str(code_names.get(name, name))
--- a/saffronlane/engines/transport.py
+++ b/saffronlane/engines/transport.py
@@ -62,6 +62,11 @@
     durability_wait: float = 0.0
     has_ended: bool = False
 
+    @property
+    def send_deadline(self) -> float:
+        """The time of the event loop after which the attempt must not be sent; infinity if there is none."""
+        return self.started_at + self.effect.send_timeout
+
     async def wait_until_durable(self) -> bool:
         """Wait for the write-ahead of this attempt, up to the timeout in its effect.
 
--- a/saffronlane/interface/actions.py
+++ b/saffronlane/interface/actions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
@@ -13,11 +14,14 @@
 
     Attributes:
         timeout: Seconds after which the attempt ends without a result.
+        send_timeout: Seconds within which the attempt has to be sent. If its first byte has not been handed
+            to the network by then, it ends as NOT_SENT: what the decision relied on may no longer hold.
     """
 
     request: int
     engine: bytes
     timeout: float
+    send_timeout: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/platform/config.py
+++ b/saffronlane/platform/config.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -17,6 +17,7 @@
 
 Address = tuple[str, int]
 MIN_SOCKETS = 64
+DEFAULT_CONNECT_TIMEOUT = 0.25  # seconds; applies if the settings name none
 MAX_PORT = 65_535
 _ERROR_PATH = re.compile(r" - at `\$(?P<path>[^`]*)`$")
 
@@ -153,13 +154,20 @@
     """Return the settings and the engines' idle timeout in seconds."""
     try:
         params = simulator_settings.Params.from_object(values)
-        return simulator_settings.read_settings(params), params.number("limits.idleClose", 0.0)
+        settings = simulator_settings.read_settings(params)
+        return _with_connect_timeout(settings), params.number("limits.idleClose", 0.0)
     except simulator_settings.SettingsError as error:
         raise ConfigError(f"/settings/{error.path.replace('.', '/')}: {error}") from error
     except (ValueError, OverflowError) as error:
         raise ConfigError(f"/settings: {error}") from error
 
 
+def _with_connect_timeout(settings: Settings) -> Settings:
+    """Fill in the default, so that the policy expects the same delay as the connections cause."""
+    connect_timeout = settings.limits.connect_timeout or DEFAULT_CONNECT_TIMEOUT
+    return replace(settings, limits=replace(settings.limits, connect_timeout=connect_timeout))
+
+
 def _read_seed(text: str) -> int:
     try:
         return int(text, 16)
--- a/saffronlane/platform/connection_output.py
+++ b/saffronlane/platform/connection_output.py
@@ -62,7 +62,7 @@
         if self.lifecycle.is_closing or self.lifecycle.state is State.DRAINING:
             self.settle()
 
-    def write_to_stream(self, data: bytes) -> bool:
+    def write_to_stream(self, data: bytes | memoryview) -> bool:
         """Write data and return whether the stream accepted it; the reader handles a broken stream."""
         try:
             written = self.stream.write(data)
--- a/saffronlane/platform/server.py
+++ b/saffronlane/platform/server.py
@@ -28,7 +28,6 @@
 from .upstream import UpstreamLimits, UpstreamTransport
 
 log = structlog.get_logger()
-DEFAULT_CONNECT_TIMEOUT = 0.25  # seconds
 DEFAULT_ENGINE_IDLE_TIMEOUT = 30.0  # seconds
 BYTES_PER_MB = 1e6
 
@@ -71,7 +70,7 @@
             ConnectionLimits().linger_timeout, shutdown_grace_period(max_deadline)
         )
         self._shutdown = GracefulShutdown(self.process, self.dispatcher, self.executor, self.downstream)
-        self._stats = StatsReporter(self.dispatcher, self.downstream)
+        self._stats = StatsReporter(self.dispatcher, self.downstream, self.upstream)
 
     def _gossip_transport(self) -> GossipTransport | None:
         config = self.config
@@ -165,7 +164,7 @@
     limits = config.settings.limits
     return UpstreamLimits(
         max_streams=limits.max_concurrent_streams,
-        connect_timeout=limits.connect_timeout or DEFAULT_CONNECT_TIMEOUT,
+        connect_timeout=limits.connect_timeout,
         idle_timeout=config.engine_idle_timeout or DEFAULT_ENGINE_IDLE_TIMEOUT,
         max_connections=max_connections,
     )
--- a/saffronlane/platform/stats.py
+++ b/saffronlane/platform/stats.py
@@ -11,6 +11,7 @@
 
 from ..dispatch import Dispatcher
 from .downstream import DownstreamServer
+from .upstream import UpstreamTransport
 
 log = structlog.get_logger()
 REPORT_INTERVAL = 5.0  # seconds
@@ -28,11 +29,15 @@
     Args:
         dispatcher: The dispatcher whose statistics are logged.
         downstream: The server of client connections whose statistics are logged.
+        upstream: The transport to the compute nodes whose statistics are logged.
     """
 
-    def __init__(self, dispatcher: Dispatcher, downstream: DownstreamServer) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, downstream: DownstreamServer, upstream: UpstreamTransport
+    ) -> None:
         self._dispatcher = dispatcher
         self._downstream = downstream
+        self._upstream = upstream
         self._loop = asyncio.get_running_loop()
         self._reported_at = 0.0
         self._max_lag = 0.0  # seconds, since the last report
@@ -65,8 +70,10 @@
             cpu_s=round(time.process_time(), 2),
             memory_mb=_resident_mb(),
             **_downstream_stats(self._downstream),
+            **_upstream_stats(self._upstream),
             **_dispatcher_stats(self._dispatcher),
         )
+        self._upstream.max_send_delay = 0.0
 
 
 def _downstream_stats(downstream: DownstreamServer) -> dict[str, int]:
@@ -80,6 +87,13 @@
     }
 
 
+def _upstream_stats(upstream: UpstreamTransport) -> dict[str, float]:
+    return {
+        "send_delay_ms": round(upstream.max_send_delay * MS_PER_SECOND, 1),
+        "expired": upstream.expired_count,
+    }
+
+
 def _dispatcher_stats(dispatcher: Dispatcher) -> dict[str, float]:
     gateway = dispatcher.gateway
     now = gateway.step_context.now
--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
@@ -26,16 +28,54 @@
             read_chunk_size=READ_CHUNK_BYTES,
             max_write_buffer_size=max_unwritten_bytes,
         )
+        self._bytes_sent_directly = 0  # by `send_now`, which bypasses the counters of IOStream
+        self._writable_descriptor: int | None = None  # watched for `call_when_writable`
 
     @property
     def bytes_written(self) -> int:
         """The number of bytes that the kernel has accepted; no further byte can have reached the peer."""
-        return self._total_write_done_index
+        return self._total_write_done_index + self._bytes_sent_directly
 
     @property
     def bytes_accepted(self) -> int:
-        """The number of bytes that were passed to `write`."""
-        return self._total_write_index
+        """The number of bytes that were passed to `write` or taken by `send_now`."""
+        return self._total_write_index + self._bytes_sent_directly
+
+    def send_now(self, data: bytes) -> int | None:
+        """Hand bytes to the kernel without buffering the rest. No earlier bytes may be unwritten.
+
+        Returns:
+            The number of bytes that the kernel has accepted; None if it accepts none before the peer reads.
+            It is 0 if the connection is broken: a `write` of the bytes then reports the error.
+        """
+        try:
+            count = self.socket.send(data)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return 0
+        self._bytes_sent_directly += count
+        return count
+
+    def call_when_writable(self, callback: Callable[[], None]) -> None:
+        """Call back once, when the kernel accepts bytes again. No bytes may be buffered by `write`."""
+        if self._writable_descriptor is None:
+            self._writable_descriptor = self.socket.fileno()
+            asyncio.get_running_loop().add_writer(self._writable_descriptor, self._on_writable, callback)
+
+    def _on_writable(self, callback: Callable[[], None]) -> None:
+        self._stop_watching()
+        callback()
+
+    def _stop_watching(self) -> None:
+        if self._writable_descriptor is not None:
+            asyncio.get_running_loop().remove_writer(self._writable_descriptor)
+            self._writable_descriptor = None
+
+    def close_fd(self) -> None:
+        """Close the socket."""
+        self._stop_watching()
+        super().close_fd()
 
     def write_to_fd(self, data: memoryview) -> int:
         """Write as much as the kernel accepts; if the connection is broken, buffer its unread input first."""
--- a/saffronlane/platform/upstream/attempt.py
+++ b/saffronlane/platform/upstream/attempt.py
@@ -8,6 +8,7 @@
 
 from ...engines.transport import Attempt
 from ..statement import Statement
+from . import protocol
 from .paged_result import PagedResult
 
 if TYPE_CHECKING:
@@ -20,14 +21,15 @@
 
     Attributes:
         connection: The connection that carries the attempt; None until one is selected.
-        sent_at: The event loop's time, in seconds, at which the command was handed to the stream; 0 while
-            it is queued.
+        sent_at: The event loop's time, in seconds, at which the kernel accepted the first byte of the
+            command; 0 while it is queued.
         end_offset: The offset in the connection's output at which this attempt's command ends, in bytes.
         is_ended: Whether the outcome has been reported.
         deferral_count: How often sending was deferred until the client's input was processed.
         was_reassigned: Whether the attempt moved to a second connection because the first closed before
             sending.
         timeout_timer: The timer that ends the attempt.
+        send_timer: The timer that withdraws the attempt if it has not been sent.
         result: The pages received so far.
         page_timer: The timer that requests missing pages again.
         work_s: The work that the compute node measured, in core-seconds.
@@ -41,6 +43,7 @@
     deferral_count: int = 0
     was_reassigned: bool = False
     timeout_timer: asyncio.TimerHandle | None = None
+    send_timer: asyncio.TimerHandle | None = None
     result: PagedResult = field(default_factory=PagedResult)
     page_timer: asyncio.TimerHandle | None = None
     work_s: float = 0.0
@@ -52,6 +55,15 @@
         statement: Statement = self.request.statement
         return statement
 
+    @property
+    def deadline(self) -> float:
+        """The time of the event loop at which the attempt times out."""
+        return self.started_at + self.effect.timeout
+
+    def encode(self, now: float) -> bytes:
+        """Encode the command that starts the attempt. It carries the timeout that remains at `now`."""
+        return protocol.execute_command(self.statement, self.deadline - now, self.effect.grant_mb)
+
     @property
     def may_have_run(self) -> bool:
         """Whether the compute node may have received the whole command and thus may have executed it."""
@@ -61,6 +73,6 @@
 
     def cancel_timers(self) -> None:
         """Cancel the timers of this attempt."""
-        for timer in (self.timeout_timer, self.page_timer):
+        for timer in (self.timeout_timer, self.send_timer, self.page_timer):
             if timer is not None:
                 timer.cancel()
--- a/saffronlane/platform/upstream/command_queue.py
+++ b/saffronlane/platform/upstream/command_queue.py
@@ -1,4 +1,4 @@
-"""A queue of commands that can be withdrawn until they are handed to the connection's stream."""
+"""A queue of commands that can be withdrawn until they are sent."""
 
 from __future__ import annotations
 
@@ -9,10 +9,19 @@
 
 
 class QueuedCommand(NamedTuple):
-    """The bytes of a command and the attempt that it starts; the attempt is None for any other command."""
+    """A command that has not been sent.
+
+    Attributes:
+        data: The encoded command; empty for an attempt, whose command is encoded when it is sent.
+        attempt: The attempt that the command starts; None for any other command.
+    """
 
     data: bytes
-    attempt: UpstreamAttempt | None
+    attempt: UpstreamAttempt | None = None
+
+    def encode(self, now: float) -> bytes:
+        """Return the bytes to send at `now`, a time of the event loop."""
+        return self.data if self.attempt is None else self.attempt.encode(now)
 
 
 class CommandQueue:
@@ -43,6 +52,11 @@
         self._ready = [command for command in self._ready if command.attempt is not attempt]
         self._deferred = [command for command in self._deferred if command.attempt is not attempt]
 
+    def expired(self, now: float) -> list[UpstreamAttempt]:
+        """Return the attempts that are ready but must not be sent any more."""
+        attempts = (command.attempt for command in self._ready)
+        return [attempt for attempt in attempts if attempt is not None and attempt.send_deadline < now]
+
     def defer(self, must_wait: Callable[[UpstreamAttempt], bool]) -> list[UpstreamAttempt]:
         """Defer the commands of attempts that must wait, and return these attempts."""
         waiting = [
@@ -60,16 +74,19 @@
         self._ready += self._deferred
         self._deferred = []
 
-    def take_batch(self, min_bytes: int) -> list[QueuedCommand]:
-        """Remove and return the first commands with at least `min_bytes` bytes in total, or all commands."""
-        size = 0
-        count = 0
-        while count < len(self._ready) and (not count or size < min_bytes):
-            size += len(self._ready[count].data)
+    def next_batch(self) -> list[QueuedCommand]:
+        """Return the first command and those after it, up to the next one that starts an attempt.
+
+        The command of an attempt is therefore always the first of its batch.
+        """
+        count = 1
+        while count < len(self._ready) and self._ready[count].attempt is None:
             count += 1
-        batch = self._ready[:count]
-        self._ready = self._ready[count:]
-        return batch
+        return self._ready[:count]
+
+    def remove_first(self, count: int) -> None:
+        """Remove the first commands, which have been sent."""
+        del self._ready[:count]
 
     def clear(self) -> None:
         """Remove all commands."""
--- a/saffronlane/platform/upstream/command_sender.py
+++ b/saffronlane/platform/upstream/command_sender.py
@@ -4,20 +4,22 @@
 
 import functools
 
+import structlog
+
 from ...interface import Outcome
 from ..lifecycle import Event
 from ..managed_connection import ManagedConnection
-from ..stream import READ_CHUNK_BYTES
 from .attempt import UpstreamAttempt
 from .client import response_sink
 from .command_queue import CommandQueue, QueuedCommand
 from .listener import ConnectionListener
 
+log = structlog.get_logger()
 MAX_DEFERRALS = 3  # per attempt
 
 
 class CommandSender:
-    """Queues the commands of a connection. A command can be withdrawn until it is handed to the stream.
+    """Queues the commands of a connection. A command can be withdrawn until its first byte is sent.
 
     Args:
         connection: The connection on which the commands are sent.
@@ -31,12 +33,16 @@
 
     @property
     def has_queued(self) -> bool:
-        """Whether commands are queued and not handed to the stream yet."""
+        """Whether commands are queued and not sent yet."""
         return bool(self._queue)
 
-    def enqueue(self, data: bytes, attempt: UpstreamAttempt | None) -> None:
-        """Queue a command."""
-        self._queue.append(QueuedCommand(data, attempt))
+    def enqueue(self, data: bytes) -> None:
+        """Queue a command that starts no attempt."""
+        self._queue.append(QueuedCommand(data))
+
+    def enqueue_attempt(self, attempt: UpstreamAttempt) -> None:
+        """Queue the command of an attempt, which is encoded when it is sent."""
+        self._queue.append(QueuedCommand(b"", attempt))
 
     def withdraw(self, attempt: UpstreamAttempt) -> None:
         """Remove the queued command of an attempt."""
@@ -47,13 +53,14 @@
         self._queue.clear()
 
     def flush(self) -> None:
-        """Hand queued commands to the stream for as long as it has no unwritten bytes.
+        """Send queued commands for as long as the kernel accepts the first byte of the next one.
 
-        While the compute node does not read, commands stay in this queue. An attempt that its client cancels
-        meanwhile can be withdrawn from here, but not from the stream. This also keeps the stream's write
-        buffer within its limit.
+        While the compute node does not read, commands stay in this queue. From here an attempt can still be
+        withdrawn: when its client cancels it, when the compute node drains, or when its send deadline has
+        passed. From the write buffer of the stream it could not.
         """
         stream = self._connection.stream
+        self._withdraw_expired()
         if not stream.writing():
             self._defer_withdrawable()
         while self._queue.has_ready and not stream.writing():
@@ -62,9 +69,15 @@
                 # An attempt sent now would count as one that may have run.
                 self._connection.handle_event(Event.EOF, "closed by the compute node")
                 return
-            if not self._send_batch(self._queue.take_batch(READ_CHUNK_BYTES)):
+            if not self._send_next_batch():
                 return
 
+    def _withdraw_expired(self) -> None:
+        """End the attempts that were not sent in time; after a late iteration, their timers come too late."""
+        for attempt in self._queue.expired(self._connection.loop.time()):
+            self._queue.withdraw(attempt)
+            self._listener.on_attempt_expired(attempt)
+
     def _defer_withdrawable(self) -> None:
         """Defer attempts that the client may have cancelled, until the client's input has been processed.
 
@@ -93,25 +106,36 @@
         self._queue.requeue_deferred()
         self._connection.flush_and_settle()
 
-    def _send_batch(self, batch: list[QueuedCommand]) -> bool:
-        """Send commands in one write; return whether the connection is still usable."""
-        self._mark_sent(batch)
-        is_written = self._connection.write_to_stream(b"".join(command.data for command in batch))
+    def _send_next_batch(self) -> bool:
+        """Send the next batch in one write; return whether further ones can follow."""
+        connection = self._connection
+        stream = connection.stream
+        now = connection.loop.time()
+        batch = self._queue.next_batch()
+        commands = [command.encode(now) for command in batch]
+        start_offset = stream.bytes_accepted
+        data = b"".join(commands)
+        sent_bytes = stream.send_now(data)
+        if sent_bytes is None:
+            log.debug("compute node does not read")
+            stream.call_when_writable(connection.flush_and_settle)
+            return False
+        self._queue.remove_first(len(batch))
+        attempt = batch[0].attempt
+        if attempt is not None and not attempt.sent_at:
+            attempt.sent_at = now
+            attempt.end_offset = start_offset + len(commands[0])
+            self._listener.on_attempt_sent(attempt)
+        return self._write_rest(memoryview(data)[sent_bytes:], attempt)
+
+    def _write_rest(self, data: memoryview, attempt: UpstreamAttempt | None) -> bool:
+        """Buffer the rest of a batch for writing; return whether the connection is still usable."""
+        is_written = not data or self._connection.write_to_stream(data)
         if is_written and not self._connection.stream.closed():
             return True
-        # The connection broke during this write, or earlier without being noticed. Attempts whose command was
-        # not written completely end now. The reader still processes responses that arrived before the break.
-        for command in batch:
-            if command.attempt is not None and not command.attempt.may_have_run:
-                self._listener.on_attempt_ended(command.attempt, Outcome.CONNECT_FAILED)
+        # The connection broke during this write, or earlier without being noticed. An attempt whose command
+        # was not written completely ends now. The reader still processes responses that arrived before the
+        # break.
+        if attempt is not None and not attempt.may_have_run:
+            self._listener.on_attempt_ended(attempt, Outcome.CONNECT_FAILED)
         return False
-
-    def _mark_sent(self, batch: list[QueuedCommand]) -> None:
-        offset = self._connection.stream.bytes_accepted
-        now = self._connection.loop.time()
-        for command in batch:
-            offset += len(command.data)
-            attempt = command.attempt
-            if attempt is not None and not attempt.sent_at:
-                attempt.sent_at = now
-                attempt.end_offset = offset
--- a/saffronlane/platform/upstream/connection.py
+++ b/saffronlane/platform/upstream/connection.py
@@ -81,19 +81,20 @@
         has_free_stream = len(self.attempts) < max_streams
         return is_usable and has_free_stream and is_new_id and self.backlog <= MAX_BACKLOG_BYTES
 
-    def execute(self, attempt: UpstreamAttempt, command: bytes) -> None:
+    def execute(self, attempt: UpstreamAttempt) -> None:
         """Start an attempt by queueing its command."""
         self.attempts[attempt.statement.request_id] = attempt
-        self.enqueue(command, attempt)
+        self._sender.enqueue_attempt(attempt)
+        self.schedule_flush()
 
     def probe(self, tag: bytes, command: bytes) -> None:
         """Start a probe by queueing its command."""
         self.probes[tag] = self.loop.time()
         self.enqueue(command)
 
-    def enqueue(self, data: bytes, attempt: UpstreamAttempt | None = None) -> None:
-        """Queue a command; all commands of one event-loop iteration are sent together at its end."""
-        self._sender.enqueue(data, attempt)
+    def enqueue(self, data: bytes) -> None:
+        """Queue a command that starts no attempt; the queue is flushed at the end of the iteration."""
+        self._sender.enqueue(data)
         self.schedule_flush()
 
     def withdraw(self, attempt: UpstreamAttempt) -> None:
--- a/saffronlane/platform/upstream/listener.py
+++ b/saffronlane/platform/upstream/listener.py
@@ -17,6 +17,12 @@
     def on_response(self, connection: UpstreamConnection, elements: list[bytes]) -> None:
         """Handle a complete response."""
 
+    def on_attempt_sent(self, attempt: UpstreamAttempt) -> None:
+        """Handle an attempt of which the kernel has accepted the first byte."""
+
+    def on_attempt_expired(self, attempt: UpstreamAttempt) -> None:
+        """Handle an attempt that was withdrawn since its send deadline has passed."""
+
     def on_attempt_ended(self, attempt: UpstreamAttempt, outcome: Outcome) -> None:
         """Handle an attempt that ended because the connection closed or broke."""
 
--- a/saffronlane/platform/upstream/transport.py
+++ b/saffronlane/platform/upstream/transport.py
@@ -37,6 +37,8 @@
         descriptor_exhaustion: DescriptorExhaustion,
     ) -> None:
         self.pool = UpstreamPool(limits, address_of, descriptor_exhaustion, self)
+        self.max_send_delay = 0.0  # seconds from a dispatch to the first byte, since the last report
+        self.expired_count = 0  # attempts that were not sent by their send deadline
         self._loop = asyncio.get_running_loop()
         self._executor: Executor
         self._prober = EngineProber(self.pool, self._on_probe_result)
@@ -55,17 +57,15 @@
     def begin(self, attempt: Attempt) -> None:
         """Queue an attempt on a connection."""
         assert isinstance(attempt, UpstreamAttempt)
-        statement = attempt.statement
-        effect = attempt.effect
-        connection = self.pool.select(attempt.engine, statement.request_id)
+        connection = self.pool.select(attempt.engine, attempt.statement.request_id)
         if connection is None:
             self.on_attempt_ended(attempt, Outcome.NOT_SENT)
             return
         attempt.connection = connection
-        deadline = attempt.started_at + effect.timeout
-        attempt.timeout_timer = self._loop.call_at(deadline, self._on_timeout, attempt)
-        command = protocol.execute_command(statement, effect.timeout, effect.grant_mb)
-        connection.execute(attempt, command)
+        attempt.timeout_timer = self._loop.call_at(attempt.deadline, self._on_timeout, attempt)
+        if attempt.send_deadline < attempt.deadline:
+            attempt.send_timer = self._loop.call_at(attempt.send_deadline, self._on_send_timeout, attempt)
+        connection.execute(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt at its compute node."""
@@ -141,8 +141,7 @@
     def on_attempt_unsent(self, attempt: UpstreamAttempt) -> None:
         """Queue an attempt on another connection to its compute node; each attempt is moved at most once."""
         attempt.was_reassigned = True
-        if attempt.timeout_timer is not None:
-            attempt.timeout_timer.cancel()
+        attempt.cancel_timers()
         self.begin(attempt)
 
     def on_probe_ended(self, engine: bytes, outcome: Outcome, started_at: float) -> None:
@@ -167,11 +166,26 @@
         if connection is not None:
             connection.release(attempt)
 
+    def on_attempt_sent(self, attempt: UpstreamAttempt) -> None:
+        """Record how long after its dispatch an attempt was sent."""
+        self.max_send_delay = max(self.max_send_delay, attempt.sent_at - attempt.started_at)
+
+    def on_attempt_expired(self, attempt: UpstreamAttempt) -> None:
+        """Count and end an attempt that was withdrawn since its send deadline has passed."""
+        self.expired_count += 1
+        self.on_attempt_ended(attempt, Outcome.NOT_SENT)
+
     # --- timeouts and cancellation ---
 
     def _on_probe_result(self, result: ProbeResult) -> None:
         self._executor.feed(result)
 
+    def _on_send_timeout(self, attempt: UpstreamAttempt) -> None:
+        if attempt.sent_at or attempt.is_ended or attempt.connection is None:
+            return
+        attempt.connection.withdraw(attempt)
+        self.on_attempt_expired(attempt)
+
     def _on_timeout(self, attempt: UpstreamAttempt) -> None:
         self._cancel_or_withdraw(attempt, Outcome.TIMEOUT if attempt.sent_at else Outcome.CONNECT_FAILED)
 
--- a/saffronlane/policy/execution/attempts.py
+++ b/saffronlane/policy/execution/attempts.py
@@ -38,6 +38,7 @@
     def start(self, request: Request, engine: Engine) -> None:
         """Dispatch a queued request to an engine."""
         now = self.step_context.now
+        send_timeout = self.retry_policy.send_timeout(request)
         attempt = self._create_attempt(request, engine)
         if attempt.index:
             self.retry_policy.budget.retries.append(now)
@@ -48,7 +49,7 @@
         self.in_flight.add(attempt, work, RECENT_WORK_HORIZON, retention)
         self.step_context.schedule(now + self.progress_timeout(request), attempt)
         timeout = max(MIN_DISPATCH_TIMEOUT, request.expires_at - EXPIRY_MARGIN - now)
-        self.step_context.emit(api.Dispatch(request.id, engine.id, timeout))
+        self.step_context.emit(api.Dispatch(request.id, engine.id, timeout, send_timeout))
         self.load_gossip.on_attempt_started(attempt)
 
     def _create_attempt(self, request: Request, engine: Engine) -> Attempt:
--- a/saffronlane/policy/scheduling/retry_policy.py
+++ b/saffronlane/policy/scheduling/retry_policy.py
@@ -26,6 +26,14 @@
         """Return whether the idempotency of the request's class allows its next attempt."""
         return self.retry_safety.is_retry_safe(request)
 
+    def send_timeout(self, request: Request) -> float:
+        """Return the seconds for which the decision to start the request's next attempt holds.
+
+        An attempt may wait for its connection, or for an engine that does not read. Sent later than this, it
+        could exceed the retry budget, or reach an engine that no longer knows the idempotency key.
+        """
+        return min(self.retry_budget.send_timeout(request), self.retry_safety.send_timeout(request))
+
     def is_exhausted(self, request: Request) -> bool:
         """Return whether the request can have no further attempt, now or later."""
         attempt_count = len(request.attempts) - request.previous_attempt_count
--- a/saffronlane/simulator/action_codec.py
+++ b/saffronlane/simulator/action_codec.py
@@ -48,7 +48,7 @@
     def add(self, instance: int, action: api.Action) -> None:
         """Add an action that an instance's gateway returned."""
         match action:
-            case api.Dispatch(request, engine, timeout):
+            case api.Dispatch(request, engine, timeout):  # simulated attempts are sent at once
                 self._add(">HIQd6s", ActionCode.DISPATCH, instance, request, timeout, engine)
             case api.SetResourceGrant(request, memory_mb, priority):
                 self._add(">HIQfB", ActionCode.SET_RESOURCE_GRANT, instance, request, memory_mb, priority)
--- /dev/null
+++ b/tests/node/test_unread_commands.py
@@ -0,0 +1,135 @@
+"""Commands that wait because their compute node does not read."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+from platform_world import SETTINGS, ComputeNode, ComputeNodeConnection, Harness
+
+from saffronlane.platform.upstream.connection import UpstreamConnection
+
+from .support import request_id, run_with_harness
+
+LONG_STATEMENT = b"SELECT '" + b"x" * 200_000 + b"'"
+STATEMENT_COUNT = 8  # long statements, more than the system buffers for a node that does not read
+KEY_TTL = 1.0  # seconds
+SMALL_BUFFER_BYTES = 8_192
+
+
+class HangingNode:
+    """A script for two compute nodes; the one that gets the first statement stops reading until `resume`.
+
+    Attributes:
+        resume: Lets the compute node read again.
+        loads: The compute nodes that got a keyed load, in order. The first load is lost after it was read.
+        hanging: The compute node that stops reading.
+        timeouts: The timeouts of all statements in milliseconds, by request id.
+    """
+
+    def __init__(self) -> None:
+        self.resume = asyncio.Event()
+        self.loads: list[ComputeNode] = []
+        self.timeouts: dict[bytes, int] = {}
+        self.hanging: ComputeNode | None = None
+
+    async def __call__(self, connection: ComputeNodeConnection, command: list[bytes]) -> None:
+        if command[0] != b"fetch":
+            return
+        fields = dict(part.split(b"=") for part in command[2].split(b","))
+        self.timeouts[command[1]] = int(fields[b"w"])
+        if fields[b"c"] == b"load":
+            self.loads.append(connection.compute_node)
+            if len(self.loads) == 1:
+                connection.abort()
+                return
+        elif self.hanging in (None, connection.compute_node):
+            self.hanging = connection.compute_node
+            await self.resume.wait()
+        connection.send_result(command[1])
+
+
+def use_small_buffers(harness: Harness, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Make the system buffer little between the server and its compute nodes."""
+    connect = UpstreamConnection.connect
+
+    async def connect_with_small_buffer(connection: UpstreamConnection) -> None:
+        await connect(connection)
+        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+
+    monkeypatch.setattr(UpstreamConnection, "connect", connect_with_small_buffer)
+    for compute_node in harness.compute_nodes:
+        assert compute_node.server is not None
+        compute_node.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+
+
+def only_hanging_node_is_busy(harness: Harness) -> Callable[[], bool]:
+    """Return a condition: commands wait for the node that does not read, and the other one has answered."""
+
+    def is_met() -> bool:
+        busy = [
+            connection for connection in harness.server.upstream.pool.connections() if connection.attempts
+        ]
+        has_all = harness.server.downstream.request_count == STATEMENT_COUNT
+        return has_all and len(busy) == 1 and busy[0].has_queued_output
+
+    return is_met
+
+
+def settings_with_short_keys() -> dict[str, object]:
+    services = [
+        service | ({"keyTtl": KEY_TTL} if service["name"] == "load" else {})
+        for service in SETTINGS["services"]
+    ]
+    return SETTINGS | {"services": services}
+
+
+def test_a_retry_that_waits_for_a_node_is_not_sent_after_its_idempotency_key_expired(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a load that takes effect twice: its retry left the queue when the node read again."""
+    script = HangingNode()
+
+    async def scenario(harness: Harness) -> None:
+        use_small_buffers(harness, monkeypatch)
+        client = await harness.client()
+        for number in range(1, STATEMENT_COUNT + 1):
+            client.call("ask", request_id(number), LONG_STATEMENT)
+        await harness.wait_until(only_hanging_node_is_busy(harness))
+        load = client.call("load", request_id(99), token="t1")
+        await asyncio.sleep(KEY_TTL + 0.3)
+        script.resume.set()
+        error, _ = await client.read_answer(load)
+        await asyncio.sleep(0.3)  # until the node that was hanging has read all that was sent to it
+        first, *retries = script.loads
+        assert first is not script.hanging and not retries
+        assert error == ["Fault", {}]  # it has run once, and its answer was lost
+
+    run_with_harness(scenario, script, script, settings=settings_with_short_keys())
+
+
+def test_a_statement_that_waited_for_a_node_is_sent_with_the_time_that_remains(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a timeout that is encoded too early: the node runs on after the client has gone."""
+    script = HangingNode()
+
+    async def scenario(harness: Harness) -> None:
+        use_small_buffers(harness, monkeypatch)
+        client = await harness.client()
+        calls = [
+            client.call("ask", request_id(number), LONG_STATEMENT) for number in range(1, STATEMENT_COUNT + 1)
+        ]
+        await harness.wait_until(only_hanging_node_is_busy(harness))
+        await asyncio.sleep(1.0)
+        early = set(script.timeouts)
+        script.resume.set()
+        for call in calls:
+            await client.read_answer(call)
+        late = [timeout for number, timeout in script.timeouts.items() if number not in early]
+        assert late and max(timeout for timeout in script.timeouts.values()) > 2_500
+        assert min(late) <= 2_000
+
+    run_with_harness(scenario, script, script)
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from random import Random
 
@@ -427,3 +428,31 @@
 def test_invalid_settings_raise(changes: dict) -> None:
     with pytest.raises(ValueError):
         Driver(make_settings(**changes))
+
+
+@pytest.mark.parametrize(
+    ("idempotency", "budget_base", "expected"),
+    [
+        (Idempotency.KEYED, None, 1.5),  # the rest of the time for which the key is known
+        (Idempotency.KEYED, 3.0, 0.105),  # the time in which the retry budget expects it to be sent
+        (Idempotency.SAFE, 3.0, 0.105),
+        (Idempotency.SAFE, None, math.inf),
+    ],
+)
+def test_retry_has_to_be_sent_while_the_decision_for_it_holds(
+    idempotency: Idempotency, budget_base: float | None, expected: float
+) -> None:
+    """Guards against a retry that waits at its engine and breaks a rule when it is sent at last."""
+    settings = make_settings(
+        classes=one_class(idempotency=idempotency, idempotency_ttl=2.0, late_priority_weight=0.5),
+        guarantees=api.Guarantees(retry_budget_base=budget_base, retry_budget_window=10.0),
+    )
+    limits = replace(settings.limits, connect_timeout=0.1)
+    driver = Driver(replace(settings, limits=limits))
+    driver.now += 20.0
+    request = driver.submit()
+    driver.now += 0.5
+    driver.end_attempt(request, Outcome.RESET)
+    first, retry = driver.dispatches(request)
+    assert first.send_timeout == math.inf
+    assert retry.send_timeout == pytest.approx(expected)
