--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -50,7 +50,7 @@
         self._scheduled_step: asyncio.Handle | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_deadline = math.inf
-        self._requests = RequestLedger()
+        self._requests = RequestLedger(transport.on_request_removed)
         self._effect_runner = EffectRunner(
             dispatcher, transport, self._requests, self.feed, send_gossip, persist
         )
--- a/saffronlane/engines/flight.py
+++ b/saffronlane/engines/flight.py
@@ -246,6 +246,9 @@
         log_event("request answered", request=request.id, code=status.code.name, why=status.message)
         request.sink.end(status)
 
+    def on_request_removed(self, request: Request) -> None:
+        """Do nothing: what is kept for a request is dropped with it."""
+
     def probe(self, engine: bytes) -> None:
         """Request a load report from an engine. The result is passed to `Executor.feed`."""
         self._spawn(self._run_probe(engine))
--- a/saffronlane/engines/request_ledger.py
+++ b/saffronlane/engines/request_ledger.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from .transport import Attempt, Request
 
 
 class RequestLedger:
-    """Requests by number. A request is removed once it is answered and all its attempts have ended."""
+    """Requests by number. A request is removed once it is answered and all its attempts have ended.
 
-    def __init__(self) -> None:
+    Args:
+        on_removed: Called with each request that is removed.
+    """
+
+    def __init__(self, on_removed: Callable[[Request], None]) -> None:
+        self._on_removed = on_removed
         self._requests: dict[int, Request] = {}
 
     def __len__(self) -> int:
@@ -49,4 +55,6 @@
     def remove_if_ended(self, request: Request) -> None:
         """Remove a request that is answered and has no attempt in flight."""
         if request.is_answered and not request.attempts_in_flight:
-            self._requests.pop(request.id, None)
+            removed = self._requests.pop(request.id, None)
+            if removed is not None:
+                self._on_removed(removed)
--- a/saffronlane/engines/transport.py
+++ b/saffronlane/engines/transport.py
@@ -119,6 +119,9 @@
     def fail(self, request: Request, reason: str) -> None:
         """Answer that the request failed and may have run."""
 
+    def on_request_removed(self, request: Request) -> None:
+        """Release what is kept for a request that is answered and has no attempt in flight any more."""
+
     def probe(self, engine: bytes) -> None:
         """Request a load report from an engine. The result is passed to `Executor.feed`."""
 
--- a/saffronlane/lab/fleet/clients.py
+++ b/saffronlane/lab/fleet/clients.py
@@ -30,6 +30,7 @@
             while data := await self._reader.read(65_536):
                 messages, scan_error = self._scanner.feed(data)
                 for message in messages:
+                    assert isinstance(message, bytes)  # nothing is discarded here
                     _, call_id, error, result = msgspec.msgpack.decode(message)
                     pending = self.in_flight.pop(call_id, None)
                     if pending is not None and not pending.done():
--- a/saffronlane/msgpackrpc/__init__.py
+++ b/saffronlane/msgpackrpc/__init__.py
@@ -4,11 +4,12 @@
 """
 
 from .errors import InvalidMessageError, ScanError
-from .messages import Call, Notification, Reply, decode_message, encode_reply
-from .scanner import Scanner
+from .messages import Call, Notification, Reply, decode_message, encode_reply, read_call_id
+from .scanner import DiscardedMessage, Scanner
 
 __all__ = [
     "Call",
+    "DiscardedMessage",
     "InvalidMessageError",
     "Notification",
     "Reply",
@@ -16,4 +17,5 @@
     "Scanner",
     "decode_message",
     "encode_reply",
+    "read_call_id",
 ]
--- a/saffronlane/msgpackrpc/messages.py
+++ b/saffronlane/msgpackrpc/messages.py
@@ -16,10 +16,16 @@
 
 # First bytes of MessagePack containers.
 ARRAY_OF_THREE = 0x93
+ARRAY_OF_FOUR = 0x94
 FIXMAP_TAGS = range(0x80, 0x90)
 FIXMAP_COUNT_MASK = 0x0F
 MAP_COUNT_BYTES_BY_TAG = {0xDE: 2, 0xDF: 4}
 
+# Tags of unsigned integers, and the size of their values in bytes.
+UNSIGNED_BYTES_BY_TAG = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}
+MAX_POSITIVE_FIXINT = 0x7F
+MAX_MESSAGE_ID = 2**32 - 1
+
 MAX_PARAMETERS = 2  # the map of fields and the optional body
 
 _MessageId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
@@ -124,6 +130,29 @@
     return Call(message_id, method, fields, body)
 
 
+def read_call_id(head: bytes) -> int | None:
+    """Return the id of a call from the first bytes of its message; None if they begin no call."""
+    if head[0] != ARRAY_OF_FOUR:
+        return None
+    message_type, position = _read_unsigned(head, 1)
+    message_id, _ = _read_unsigned(head, position)
+    if message_type != REQUEST or message_id is None or message_id > MAX_MESSAGE_ID:
+        return None
+    return message_id
+
+
+def _read_unsigned(data: bytes, position: int) -> tuple[int | None, int]:
+    """Return the unsigned integer at an offset, or None if there is no such integer, and the next offset."""
+    tag = data[position]
+    if tag <= MAX_POSITIVE_FIXINT:
+        return tag, position + 1
+    width = UNSIGNED_BYTES_BY_TAG.get(tag)
+    if width is None:
+        return None, position + 1
+    end = position + 1 + width
+    return int.from_bytes(data[position + 1 : end], "big"), end
+
+
 def _map_entry_count(raw: msgspec.Raw) -> int:
     """Return the number of entries that the header of a map declares."""
     data = memoryview(raw)
--- a/saffronlane/msgpackrpc/scanner.py
+++ b/saffronlane/msgpackrpc/scanner.py
@@ -7,8 +7,12 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from .errors import ScanError
 
+HEAD_BYTES = 20  # kept of a discarded message; they contain its type and its id
+
 # Tables by tag. The tag is the first byte of an item.
 _FIXED_PAYLOAD_BYTES = {0xC0: 0, 0xC2: 0, 0xC3: 0, 0xCA: 4, 0xCB: 8}  # nil, booleans, floats
 _FIXED_PAYLOAD_BYTES |= {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8, 0xD0: 1, 0xD1: 2, 0xD2: 4, 0xD3: 8}  # integers
@@ -19,6 +23,12 @@
 _CONTAINER_HEADERS = {0xDC: (2, 1), 0xDD: (4, 1), 0xDE: (2, 2), 0xDF: (4, 2)}
 
 
+class DiscardedMessage(NamedTuple):
+    """A complete message of which only the first `HEAD_BYTES` were kept."""
+
+    head: bytes
+
+
 class Scanner:
     """Splits a stream of bytes into complete messages.
 
@@ -37,30 +47,74 @@
         self._position = 0  # offset of the next item in the buffer
         self._remaining_items = 1  # items declared so far that are not scanned yet
         self._item_count = 0
+        self._head: bytes | None = None  # of a message that is discarded
+        self._dropped_bytes = 0  # bytes of this message that are no longer in the buffer
+        self._bytes_to_drop = 0  # bytes of the current value that have not arrived
 
     @property
     def pending_bytes(self) -> int:
-        """Number of bytes received of a message that is not complete yet."""
+        """Number of bytes that are kept of a message that is not complete yet."""
         return len(self._buffer)
 
-    def feed(self, data: bytes) -> tuple[list[bytes], ScanError | None]:
+    @property
+    def is_within_message(self) -> bool:
+        """Whether a message has begun and is not complete yet."""
+        return bool(self._buffer) or self._head is not None
+
+    def discard_message(self) -> None:
+        """Stop keeping the bytes of the message that has begun; `feed` reports its end all the same."""
+        if self._head is None and len(self._buffer) >= HEAD_BYTES:
+            self._head = bytes(self._buffer[:HEAD_BYTES])
+            self._drop_scanned()
+
+    def feed(self, data: bytes) -> tuple[list[bytes | DiscardedMessage], ScanError | None]:
         """Add received bytes.
 
         Returns:
             The messages that these bytes complete, and the error in the bytes after these messages, or None.
         """
-        self._buffer += data
-        messages: list[bytes] = []
+        self._buffer += self._drop_expected(data)
+        messages: list[bytes | DiscardedMessage] = []
         try:
-            while self._buffer and self._scan():
-                messages.append(bytes(self._buffer[: self._position]))
-                del self._buffer[: self._position]
-                self._begin_message()
+            while not self._bytes_to_drop and self.is_within_message and self._scan():
+                messages.append(self._take_message())
         except ScanError as error:
             self._buffer.clear()
+            self._begin_message()
             return messages, error
+        if self._head is not None:
+            self._drop_scanned()
         return messages, None
 
+    def _take_message(self) -> bytes | DiscardedMessage:
+        """Remove the complete message and return it."""
+        scanned = bytes(self._buffer[: self._position])
+        message = scanned if self._head is None else DiscardedMessage(self._head)
+        del self._buffer[: self._position]
+        self._begin_message()
+        return message
+
+    def _drop_expected(self, data: bytes) -> bytes:
+        """Return the received bytes without those of a value that is being dropped."""
+        count = min(self._bytes_to_drop, len(data))
+        self._bytes_to_drop -= count
+        self._dropped_bytes += count
+        return data[count:]
+
+    def _drop_scanned(self) -> None:
+        """Drop the scanned items of a discarded message, and the part of the next value that has arrived."""
+        del self._buffer[: self._position]
+        self._dropped_bytes += self._position
+        self._position = 0
+        size = len(self._buffer)
+        end, nested_items = self._scan_item(0) if size else (0, 0)
+        if end > size and not nested_items:
+            self._buffer.clear()
+            self._dropped_bytes += size
+            self._bytes_to_drop = end - size
+            self._item_count += 1
+            self._remaining_items -= 1
+
     def _scan(self) -> bool:
         """Scan up to the end of the message or the buffer; return whether the message is complete."""
         position = self._position
@@ -73,7 +127,7 @@
             if end < 0:  # the item's header is incomplete
                 self._position = position
                 return False
-            if end > self._max_bytes:
+            if end + self._dropped_bytes > self._max_bytes:
                 raise ScanError(f"message exceeds the limit of {self._max_bytes} bytes")
             if end > size and not nested_items:  # an incomplete value, scanned again when more bytes arrive
                 self._position = position
@@ -94,7 +148,8 @@
             offset is the end of its header. The offset is -1 if the header is incomplete.
         """
         tag = self._buffer[position]
-        if not position and not 0x93 <= tag <= 0x94:
+        is_first = not position and not self._dropped_bytes
+        if is_first and not 0x93 <= tag <= 0x94:
             raise ScanError(f"expected 0x93 or 0x94 as the first byte of a message, got {tag:#04x}")
         if tag <= 0x7F or tag >= 0xE0:
             return position + 1, 0
--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -12,9 +12,10 @@
 from ..errors import BadRequestError
 from ..lifecycle import ConnectionLifecycle, ConnectionLimits, Event
 from ..managed_connection import ManagedConnection
+from ..memory_budget import MemoryHolder
 from ..stream import Stream
 from .fault_replies import DelayedFaultReplies
-from .reply_channel import FAULT_ERROR, ReplyChannel
+from .reply_channel import FAULT_ERROR, ReplyChannel, rejection
 
 if TYPE_CHECKING:
     from .server import DownstreamServer
@@ -27,7 +28,9 @@
 
 MAX_MESSAGE_BYTES = 262_144
 MAX_MESSAGE_ITEMS = 256
+SMALL_MESSAGE_BYTES = 1_024  # a partial message up to this size is always kept
 MAX_OPEN_REQUESTS = 32  # the protocol's limit for each connection
+REQUEST_OVERHEAD_BYTES = 4_096  # kept for each open request besides its statement
 MAX_REPLY_BYTES = 49_152
 MAX_UNREAD_BYTES = MAX_OPEN_REQUESTS * MAX_REPLY_BYTES  # reply bytes that a client may leave unread
 RECEIVE_TIMEOUT = 2.0  # seconds to wait for the first message, or for the next byte of a partial message
@@ -62,11 +65,12 @@
 
     def __init__(self, server: DownstreamServer, connection: socket.socket) -> None:
         now = asyncio.get_running_loop().time()
-        stream = Stream(connection, 2 * MAX_MESSAGE_BYTES, MAX_UNREAD_BYTES)
+        stream = Stream(connection, 2 * MAX_MESSAGE_BYTES, MAX_UNREAD_BYTES, server.read_chunk_bytes)
         stream.set_nodelay(True)
         super().__init__(stream, ConnectionLifecycle(CONNECTION_LIMITS, now))
         self.server = server
         self.open_requests: dict[int, OpenRequest] = {}  # by message id
+        self.memory = MemoryHolder(server.memory)  # of open requests and of a message that has begun
         self.opened_at = now
         self.idle_since = now
         self.message_started_at = now
@@ -75,6 +79,7 @@
         self.request_count = 0
         self.invalid_message_count = 0
         self.scanner = rpc.Scanner(MAX_MESSAGE_BYTES, MAX_MESSAGE_ITEMS)
+        self._counted_bytes = 0  # of the message that has begun, as counted in `memory`
         self._can_parse_input = True
         self._output: list[bytes] = []
         self._fault_replies = DelayedFaultReplies(self.write, self._update_idle)
@@ -86,8 +91,9 @@
         if not self._can_parse_input:
             return
         self.last_received_at = self.loop.time()
-        was_between_messages = not self.scanner.pending_bytes
+        was_between_messages = not self.scanner.is_within_message
         messages, error = self.scanner.feed(data)
+        self._count_partial_message()
         if was_between_messages or messages:
             self.message_started_at = self.last_received_at
         for message in messages:
@@ -104,7 +110,20 @@
             self._can_parse_input = False
             self.drain("input unreadable")
 
-    def _on_message(self, data: bytes) -> None:
+    def _count_partial_message(self) -> None:
+        """Count the message that has begun; if there is no memory for it, its bytes are not kept."""
+        pending_bytes = self.scanner.pending_bytes
+        is_small = pending_bytes <= SMALL_MESSAGE_BYTES
+        if not is_small and not self.memory.admits(pending_bytes - self._counted_bytes):
+            self.scanner.discard_message()
+            pending_bytes = self.scanner.pending_bytes
+        self.memory.add(pending_bytes - self._counted_bytes)
+        self._counted_bytes = pending_bytes
+
+    def _on_message(self, data: bytes | rpc.DiscardedMessage) -> None:
+        if isinstance(data, rpc.DiscardedMessage):
+            self._on_discarded_message(data)
+            return
         try:
             message = rpc.decode_message(data)
         except rpc.InvalidMessageError as error:
@@ -118,8 +137,7 @@
         elif not self.lifecycle.accepts_work:
             return  # while the connection closes, only requests that are already open are answered
         elif message.method == HEALTH_CHECK_METHOD:
-            self.write(rpc.encode_reply(rpc.Reply(message.id, None, {}, self.server.is_healthy())))
-            self._update_idle()
+            self._reply_at_once(rpc.Reply(message.id, None, {}, self.server.is_healthy()))
         else:
             self._on_call(message)
 
@@ -136,17 +154,43 @@
         if len(self.open_requests) >= MAX_OPEN_REQUESTS:
             self._on_invalid_message(call.id, f"more than {MAX_OPEN_REQUESTS} requests open")
             return
+        held_bytes = len(call.body or b"") + REQUEST_OVERHEAD_BYTES
+        if not self.memory.admits(held_bytes):
+            self._reject_for_memory(call.id)
+            return
         try:
             request = self.server.decode(call)
         except BadRequestError as error:
             self._on_invalid_message(call.id, str(error))
             return
         request_id = request.statement.request_id
-        number = self.server.submit(request, ReplyChannel(self, call.id, request_id))
+        self.memory.add(held_bytes)
+        number = self.server.submit(request, ReplyChannel(self, call.id, request_id, held_bytes))
         self.open_requests[call.id] = OpenRequest(number, request_id)
         self.request_count += 1
         self.server.eviction.mark_busy(self)
 
+    def _on_discarded_message(self, message: rpc.DiscardedMessage) -> None:
+        """Reject a call whose bytes were not kept."""
+        message_id = rpc.read_call_id(message.head)
+        if message_id is None:
+            self._on_invalid_message(None, "a message that is no call exceeds the memory that is left")
+        elif message_id in self.open_requests:
+            self.abort("duplicate message id")
+        elif self.lifecycle.accepts_work:
+            self._reject_for_memory(message_id)
+
+    def _reject_for_memory(self, message_id: int) -> None:
+        """Reject a call for which there is no memory. It never ran, so that the client may retry."""
+        self.server.memory_rejection_count += 1
+        self._reply_at_once(rejection(message_id, self.server.retry_after))
+
+    def _reply_at_once(self, reply: rpc.Reply) -> None:
+        """Reply to a call that is not submitted."""
+        self.has_sent_message = True
+        self.write(rpc.encode_reply(reply))
+        self._update_idle()
+
     def _on_cancel(self, message_id: int) -> None:
         request = self.open_requests.pop(message_id, None)
         if request is not None:
@@ -223,7 +267,7 @@
         """Whether the connection has no open request, partial message, unsent reply or unprocessed input."""
         is_busy = (
             self.has_pending_work
-            or self.scanner.pending_bytes
+            or self.scanner.is_within_message
             or self.has_pending_output
             or self.has_unprocessed_input
         )
@@ -236,7 +280,7 @@
                 self.abort("replies not read")
         elif not self.lifecycle.accepts_work:
             return  # the lifecycle enforces the timeouts of a closing connection
-        elif self.scanner.pending_bytes:
+        elif self.scanner.is_within_message:
             if self._message_timed_out(now):
                 self.call_after_pending_input(self._drain_unfinished)
         elif not self.has_sent_message and not self.has_pending_work:
@@ -249,7 +293,7 @@
         """Return whether a message has started and its rest is overdue."""
         has_stalled = now > self.last_received_at + RECEIVE_TIMEOUT
         is_overdue = now > self.message_started_at + MESSAGE_TIMEOUT
-        return bool(self.scanner.pending_bytes) and (has_stalled or is_overdue)
+        return self.scanner.is_within_message and (has_stalled or is_overdue)
 
     def _drain_unfinished(self) -> None:
         if self._message_timed_out(self.loop.time()) and not self.has_unprocessed_input:
@@ -263,6 +307,8 @@
     def on_closed(self, event: Event, reason: str) -> None:
         """Cancel the open requests of a client whose connection has closed."""
         self._fault_replies.discard()
+        self.memory.add(-self._counted_bytes)
+        self._counted_bytes = 0
         for request in self.open_requests.values():
             self.server.cancel(request.number, request.request_id)
         self.open_requests.clear()
--- a/saffronlane/platform/downstream/reply_channel.py
+++ b/saffronlane/platform/downstream/reply_channel.py
@@ -17,6 +17,20 @@
 MS_PER_SECOND = 1000.0
 
 
+def rejection(message_id: int, retry_after: float) -> rpc.Reply:
+    """Return the reply that a request was rejected.
+
+    Args:
+        message_id: The id of the call.
+        retry_after: Seconds after which the client may retry, or 0 to send no delay.
+    """
+    fields = {}
+    if retry_after > 0.0:
+        retry_after_ms = max(1, round(retry_after * MS_PER_SECOND))
+        fields[RETRY_AFTER_MS_FIELD] = str(retry_after_ms)
+    return rpc.Reply(message_id, REJECTED_ERROR, fields)
+
+
 class ReplyChannel:
     """Writes the reply to one request on its client's connection.
 
@@ -24,14 +38,20 @@
         client: The connection on which the request was received.
         message_id: The id of the call, which the reply repeats.
         request_id: The client's id for the request.
+        held_bytes: The bytes that the request counts in the memory budget.
     """
 
-    __slots__ = ("client", "message_id", "request_id")
+    __slots__ = ("client", "held_bytes", "message_id", "request_id")
 
-    def __init__(self, client: ClientConnection, message_id: int, request_id: bytes) -> None:
+    def __init__(self, client: ClientConnection, message_id: int, request_id: bytes, held_bytes: int) -> None:
         self.client = client
         self.message_id = message_id
         self.request_id = request_id
+        self.held_bytes = held_bytes
+
+    def on_request_removed(self) -> None:
+        """Return the bytes of the request to the memory budget."""
+        self.client.memory.add(-self.held_bytes)
 
     @property
     def has_unprocessed_input(self) -> bool:
@@ -48,11 +68,7 @@
         Args:
             retry_after: Seconds after which the client may retry, or 0 to send no delay.
         """
-        fields = {}
-        if retry_after > 0.0:
-            retry_after_ms = max(1, round(retry_after * MS_PER_SECOND))
-            fields[RETRY_AFTER_MS_FIELD] = str(retry_after_ms)
-        self.client.send_reply(self, rpc.Reply(self.message_id, REJECTED_ERROR, fields))
+        self.client.send_reply(self, rejection(self.message_id, retry_after))
 
     def send_failure(self, reason: str) -> None:
         """Reply that the request failed. The reply does not contain the reason."""
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -14,19 +14,28 @@
 from ..config import Address
 from ..descriptors import DescriptorExhaustion
 from ..errors import BadRequestError
+from ..memory_budget import MemoryBudget
+from ..stream import READ_CHUNK_BYTES
 from .client_connection import ClientConnection
 from .connection_eviction import EvictionOrder
 from .listener import Listener
 from .reply_channel import ReplyChannel
 from .request_decoder import REQUEST_ID_FIELD, DecodedRequest, RequestDecoder
 
-MAX_PARTIAL_BYTES = 8_388_608  # maximum total size of the partial messages of all connections
+READ_BUFFER_RATIO = 0.0625  # fraction of the memory into which all clients together are read at once
+MIN_READ_CHUNK_BYTES = 4_096
 MAX_UNREAD_RATIO = 0.25  # fraction of the memory that the unread replies of all connections may use
 EARLY_EVICTION_RATIO = 0.9  # fraction of the connection limit above which idle connections are evicted early
 SWEEP_INTERVAL = 0.25  # seconds
 EVICTION_RETRY_INTERVAL = 0.02  # seconds
 
 
+def _read_chunk_bytes(memory_bytes: float, max_clients: int) -> int:
+    """Return the bytes to read at once from a client, so that all of them together need little memory."""
+    chunk_bytes = int(READ_BUFFER_RATIO * memory_bytes / max_clients)
+    return max(MIN_READ_CHUNK_BYTES, min(chunk_bytes, READ_CHUNK_BYTES))
+
+
 class DownstreamServer:
     """Listens for clients and enforces the limits on their connections.
 
@@ -37,6 +46,7 @@
         is_healthy: Returns whether the gateway is healthy, which is the reply to a health check.
         exhaustion: Reports errors that are caused by a lack of file descriptors.
         memory_bytes: Memory in bytes that the process may use.
+        memory: The budget in which open requests and partial messages count.
     """
 
     def __init__(
@@ -47,18 +57,24 @@
         is_healthy: Callable[[], bool],
         exhaustion: DescriptorExhaustion,
         memory_bytes: float,
+        memory: MemoryBudget,
     ) -> None:
         self.decoder = RequestDecoder(settings)
         self.clients: dict[ClientConnection, None] = {}  # oldest first
         self.eviction = EvictionOrder(max_clients)
         self.open_request_ids: set[bytes] = set()
         self.invalid_message_count = 0
+        self.memory_rejection_count = 0
         self.request_count = 0
         self.last_request_at = 0.0
         self.accepted_count = 0
         self.evicted_count = 0
         self.is_healthy = is_healthy
         self.max_clients = max_clients
+        self.memory = memory
+        self.read_chunk_bytes = _read_chunk_bytes(memory_bytes, max_clients)
+        limits = settings.limits
+        self.retry_after = limits.max_retry_after if limits.sends_retry_after else 0.0
         self.listener = Listener(self._on_connection, exhaustion)
         self._executor = executor
         self._max_unread_bytes = MAX_UNREAD_RATIO * memory_bytes
@@ -183,29 +199,25 @@
         # The next sweep is scheduled first, so that an exception below does not end the sweeps.
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL, self._on_sweep_due)
         unread_bytes = self._check_connections()
+        self.memory.unread_reply_bytes = unread_bytes
         while unread_bytes > self._max_unread_bytes:
             slowest = max(self.clients, key=lambda client: client.backlog)
             unread_bytes -= slowest.backlog
             slowest.abort("unread replies exceed the limit over all connections")
 
     def _check_connections(self) -> float:
-        """Check the timeouts and partial messages of all connections.
+        """Check the timeouts of all connections.
 
         Returns:
             The number of reply bytes that the clients have not read.
         """
         now = self._loop.time()
-        partial_bytes = 0
         unread_bytes = 0.0
         for client in list(self.clients):
             client.run_isolated(functools.partial(client.check_timeouts, now))
             if client.lifecycle.is_closed:
                 continue
-            partial_bytes += client.scanner.pending_bytes
             unread_bytes += client.backlog
-            if partial_bytes > MAX_PARTIAL_BYTES:
-                partial_bytes -= client.scanner.pending_bytes
-                client.abort("partial messages exceed the limit over all connections")
         return unread_bytes
 
     # --- shutdown ---
--- a/saffronlane/platform/managed_connection.py
+++ b/saffronlane/platform/managed_connection.py
@@ -16,7 +16,7 @@
 
 from .connection_output import ConnectionOutput
 from .lifecycle import ConnectionLifecycle, Event, State
-from .stream import READ_CHUNK_BYTES, Stream
+from .stream import Stream
 
 log = structlog.get_logger()
 EXPIRY_TOLERANCE = 1e-3  # seconds by which a timer may fire early
@@ -67,7 +67,7 @@
                 self.handle_event(Event.CONNECTED, "connected")
                 self.flush_and_settle()
             while not self.lifecycle.is_closed:
-                read_future = self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+                read_future = self.stream.read_bytes(self.stream.read_chunk_size, partial=True)
                 if not self.stream.reading():
                     # Data was available immediately. Without this pause, a peer that sends continuously would
                     # keep this task running, and the event loop would serve no other connection.
--- a/saffronlane/platform/server.py
+++ b/saffronlane/platform/server.py
@@ -22,6 +22,7 @@
 from .downstream import DownstreamServer
 from .lifecycle import ConnectionLimits, Phase, ProcessLifecycle
 from .lifecycle.process import shutdown_grace_period
+from .memory_budget import MemoryBudget
 from .reload import reload_config
 from .shutdown import GracefulShutdown
 from .stats import StatsReporter
@@ -30,6 +31,7 @@
 log = structlog.get_logger()
 DEFAULT_ENGINE_IDLE_TIMEOUT = 30.0  # seconds
 BYTES_PER_MB = 1e6
+CLIENT_MEMORY_RATIO = 0.4  # fraction of the memory for what clients have sent; the rest is for the process
 
 
 class DispatcherServer:
@@ -49,8 +51,10 @@
         exhaustion = DescriptorExhaustion()
         self.endpoints = EndpointTable(settings, self._loop.time, time.time)
         self.dispatcher = dispatch.Dispatcher(settings, config.seed)
+        memory_bytes = config.memory_mb * BYTES_PER_MB
+        self.memory = MemoryBudget(CLIENT_MEMORY_RATIO * memory_bytes)
         self.upstream = UpstreamTransport(
-            _upstream_limits(config, allocation.engines), self.endpoints.address, exhaustion
+            _upstream_limits(config, allocation.engines), self.endpoints.address, exhaustion, self.memory
         )
         self.peers = self._gossip_transport()
         self.executor = Executor(self.dispatcher, self.upstream, self.peers.send if self.peers else None)
@@ -60,7 +64,8 @@
             allocation.clients,
             self._is_healthy,
             exhaustion,
-            config.memory_mb * BYTES_PER_MB,
+            memory_bytes,
+            self.memory,
         )
         self.discovery = DiscoveryWatch(
             config.feed, config.last_sequence, self._on_endpoints, Random(config.seed), exhaustion
--- a/saffronlane/platform/stats.py
+++ b/saffronlane/platform/stats.py
@@ -76,11 +76,13 @@
         self._upstream.max_send_delay = 0.0
 
 
-def _downstream_stats(downstream: DownstreamServer) -> dict[str, int]:
+def _downstream_stats(downstream: DownstreamServer) -> dict[str, float]:
     return {
         "clients": len(downstream.clients),
         "requests": downstream.request_count,
         "faults": downstream.invalid_message_count,
+        "held_mb": round(downstream.memory.held_bytes / BYTES_PER_MB, 1),
+        "memory_rejections": downstream.memory_rejection_count,
         "accepted": downstream.accepted_count,
         "evicted": downstream.evicted_count,
         "pauses": downstream.listener.pause_count,
--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tornado.iostream import IOStream
 
@@ -19,13 +19,20 @@
         connection: The socket of the connection.
         max_unread_bytes: The maximum number of received bytes that are buffered for the reader.
         max_unwritten_bytes: The maximum number of bytes that are buffered for the socket.
+        read_chunk_bytes: The number of bytes that are read in one iteration of the event loop.
     """
 
-    def __init__(self, connection: socket.socket, max_unread_bytes: int, max_unwritten_bytes: int) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        max_unread_bytes: int,
+        max_unwritten_bytes: int,
+        read_chunk_bytes: int = READ_CHUNK_BYTES,
+    ) -> None:
         super().__init__(
             connection,
             max_buffer_size=max_unread_bytes,
-            read_chunk_size=READ_CHUNK_BYTES,
+            read_chunk_size=read_chunk_bytes,
             max_write_buffer_size=max_unwritten_bytes,
         )
         self._bytes_sent_directly = 0  # by `send_now`, which bypasses the counters of IOStream
@@ -41,15 +48,18 @@
         """The number of bytes that were passed to `write` or taken by `send_now`."""
         return self._total_write_index + self._bytes_sent_directly
 
-    def send_now(self, data: bytes) -> int | None:
+    def send_now(self, parts: Sequence[bytes]) -> int | None:
         """Hand bytes to the kernel without buffering the rest. No earlier bytes may be unwritten.
 
+        Args:
+            parts: The bytes, which are not copied.
+
         Returns:
             The number of bytes that the kernel has accepted; None if it accepts none before the peer reads.
             It is 0 if the connection is broken: a `write` of the bytes then reports the error.
         """
         try:
-            count = self.socket.send(data)
+            count = self.socket.send(parts[0]) if len(parts) == 1 else self.socket.sendmsg(parts)
         except BlockingIOError:
             return None
         except OSError:
--- a/saffronlane/platform/upstream/attempt.py
+++ b/saffronlane/platform/upstream/attempt.py
@@ -60,10 +60,16 @@
         """The time of the event loop at which the attempt times out."""
         return self.started_at + self.effect.timeout
 
-    def encode(self, now: float) -> bytes:
-        """Encode the command that starts the attempt. It carries the timeout that remains at `now`."""
+    def encode(self, now: float) -> list[bytes]:
+        """Encode the command that starts the attempt, in parts, with the timeout that remains at `now`."""
         return protocol.execute_command(self.statement, self.deadline - now, self.effect.grant_mb)
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """The bytes of the statement that are kept since the compute node has read only a part of them."""
+        is_partly_written = bool(self.sent_at) and not self.may_have_run
+        return len(self.statement.body) if is_partly_written else 0
+
     @property
     def may_have_run(self) -> bool:
         """Whether the compute node may have received the whole command and thus may have executed it."""
--- a/saffronlane/platform/upstream/client.py
+++ b/saffronlane/platform/upstream/client.py
@@ -14,6 +14,9 @@
     def has_unprocessed_input(self) -> bool:
         """Whether the client has sent data or disconnected, and this has not been processed yet."""
 
+    def on_request_removed(self) -> None:
+        """Handle that nothing is kept for the request any more."""
+
     def send_result(self, body: bytes) -> None:
         """Answer with a complete result."""
 
--- a/saffronlane/platform/upstream/command_queue.py
+++ b/saffronlane/platform/upstream/command_queue.py
@@ -19,9 +19,9 @@
     data: bytes
     attempt: UpstreamAttempt | None = None
 
-    def encode(self, now: float) -> bytes:
-        """Return the bytes to send at `now`, a time of the event loop."""
-        return self.data if self.attempt is None else self.attempt.encode(now)
+    def encode(self, now: float) -> list[bytes]:
+        """Return the parts of the bytes to send at `now`, a time of the event loop."""
+        return [self.data] if self.attempt is None else self.attempt.encode(now)
 
 
 class CommandQueue:
--- a/saffronlane/platform/upstream/command_sender.py
+++ b/saffronlane/platform/upstream/command_sender.py
@@ -9,6 +9,7 @@
 from ...interface import Outcome
 from ..lifecycle import Event
 from ..managed_connection import ManagedConnection
+from ..memory_budget import MemoryBudget, MemoryHolder
 from .attempt import UpstreamAttempt
 from .client import response_sink
 from .command_queue import CommandQueue, QueuedCommand
@@ -23,13 +24,17 @@
 
     Args:
         connection: The connection on which the commands are sent.
-        listener: The listener that is notified of attempts that cannot be sent.
+        listener: The listener that is notified of attempts that are sent or cannot be sent.
+        memory: The budget in which the statements of ended attempts count that were sent in part.
     """
 
-    def __init__(self, connection: ManagedConnection, listener: ConnectionListener) -> None:
+    def __init__(
+        self, connection: ManagedConnection, listener: ConnectionListener, memory: MemoryBudget
+    ) -> None:
         self._connection = connection
         self._listener = listener
         self._queue = CommandQueue()
+        self._unwritten = MemoryHolder(memory)
 
     @property
     def has_queued(self) -> bool:
@@ -49,8 +54,9 @@
         self._queue.withdraw(attempt)
 
     def clear(self) -> None:
-        """Remove all queued commands."""
+        """Remove all queued commands; what was sent in part is dropped with the stream."""
         self._queue.clear()
+        self._unwritten.add(-self._unwritten.held_bytes)
 
     def flush(self) -> None:
         """Send queued commands for as long as the kernel accepts the first byte of the next one.
@@ -62,6 +68,7 @@
         stream = self._connection.stream
         self._withdraw_expired()
         if not stream.writing():
+            self._unwritten.add(-self._unwritten.held_bytes)
             self._defer_withdrawable()
         while self._queue.has_ready and not stream.writing():
             if stream.peek() == b"":
@@ -106,32 +113,31 @@
         self._queue.requeue_deferred()
         self._connection.flush_and_settle()
 
+    def on_attempt_ended(self, attempt: UpstreamAttempt) -> None:
+        """Count the statement of an ended attempt for as long as its rest has to be written."""
+        self._unwritten.add(attempt.unwritten_bytes)
+
     def _send_next_batch(self) -> bool:
         """Send the next batch in one write; return whether further ones can follow."""
         connection = self._connection
         stream = connection.stream
         now = connection.loop.time()
         batch = self._queue.next_batch()
-        commands = [command.encode(now) for command in batch]
-        start_offset = stream.bytes_accepted
-        data = b"".join(commands)
-        sent_bytes = stream.send_now(data)
+        attempt = batch[0].attempt
+        parts = batch[0].encode(now)
+        end_offset = stream.bytes_accepted + sum(map(len, parts))
+        parts[-1] += b"".join(command.data for command in batch[1:])
+        sent_bytes = stream.send_now(parts)
         if sent_bytes is None:
             log.debug("compute node does not read")
             stream.call_when_writable(connection.flush_and_settle)
             return False
         self._queue.remove_first(len(batch))
-        attempt = batch[0].attempt
         if attempt is not None and not attempt.sent_at:
             attempt.sent_at = now
-            attempt.end_offset = start_offset + len(commands[0])
+            attempt.end_offset = end_offset
             self._listener.on_attempt_sent(attempt)
-        return self._write_rest(memoryview(data)[sent_bytes:], attempt)
-
-    def _write_rest(self, data: memoryview, attempt: UpstreamAttempt | None) -> bool:
-        """Buffer the rest of a batch for writing; return whether the connection is still usable."""
-        is_written = not data or self._connection.write_to_stream(data)
-        if is_written and not self._connection.stream.closed():
+        if self._write_rest(parts, sent_bytes):
             return True
         # The connection broke during this write, or earlier without being noticed. An attempt whose command
         # was not written completely ends now. The reader still processes responses that arrived before the
@@ -139,3 +145,12 @@
         if attempt is not None and not attempt.may_have_run:
             self._listener.on_attempt_ended(attempt, Outcome.CONNECT_FAILED)
         return False
+
+    def _write_rest(self, parts: list[bytes], sent_bytes: int) -> bool:
+        """Buffer what was not sent of a batch, without a copy; return whether the connection is usable."""
+        for part in parts:
+            rest = memoryview(part)[sent_bytes:]
+            sent_bytes = max(0, sent_bytes - len(part))
+            if rest and not self._connection.write_to_stream(rest):
+                return False
+        return not self._connection.stream.closed()
--- a/saffronlane/platform/upstream/connection.py
+++ b/saffronlane/platform/upstream/connection.py
@@ -11,6 +11,7 @@
 from ..config import Address
 from ..lifecycle import ConnectionLifecycle, ConnectionLimits, Event
 from ..managed_connection import ManagedConnection
+from ..memory_budget import MemoryBudget
 from ..stream import Stream
 from .attempt import UpstreamAttempt
 from .command_sender import CommandSender
@@ -36,13 +37,19 @@
         engine: The id of the compute node.
         address: The address of the compute node.
         connect_timeout: The seconds within which the connection must be established.
+        memory: The budget in which the statements of ended attempts count that were sent in part.
 
     Raises:
         OSError: The system cannot create a socket.
     """
 
     def __init__(
-        self, listener: ConnectionListener, engine: bytes, address: Address, connect_timeout: float
+        self,
+        listener: ConnectionListener,
+        engine: bytes,
+        address: Address,
+        connect_timeout: float,
+        memory: MemoryBudget,
     ) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -59,7 +66,7 @@
         self._listener = listener
         self._retired_ids: set[bytes] = set()  # request ids of attempts that ended without a result
         self._connect_timeout = connect_timeout
-        self._sender = CommandSender(self, listener)
+        self._sender = CommandSender(self, listener, memory)
         self._reader = ResponseReader(now)
 
     @property
@@ -154,7 +161,8 @@
 
     def release(self, attempt: UpstreamAttempt) -> None:
         """Remove an attempt that has ended."""
-        self.attempts.pop(attempt.statement.request_id, None)
+        if self.attempts.pop(attempt.statement.request_id, None) is not None and not self.stream.closed():
+            self._sender.on_attempt_ended(attempt)
         self.settle_if_idle()
 
     def retire(self, attempt: UpstreamAttempt) -> None:
--- a/saffronlane/platform/upstream/pool.py
+++ b/saffronlane/platform/upstream/pool.py
@@ -10,6 +10,7 @@
 
 from ..config import Address
 from ..descriptors import DescriptorExhaustion
+from ..memory_budget import MemoryBudget
 from .connection import UpstreamConnection
 from .limits import UpstreamLimits
 from .listener import ConnectionListener
@@ -30,6 +31,7 @@
         address_of: Returns the address of a compute node by its id; None if the compute node is not listed.
         descriptor_exhaustion: Reports errors that are due to a lack of descriptors.
         listener: The listener that all connections notify.
+        memory: The budget in which the statements of ended attempts count that were sent in part.
     """
 
     def __init__(
@@ -38,12 +40,14 @@
         address_of: Callable[[bytes], Address | None],
         descriptor_exhaustion: DescriptorExhaustion,
         listener: ConnectionListener,
+        memory: MemoryBudget,
     ) -> None:
         self.limits = limits
         self.connections_by_engine: dict[bytes, list[UpstreamConnection]] = {}
         self._address_of = address_of
         self._descriptor_exhaustion = descriptor_exhaustion
         self._listener = listener
+        self._memory = memory
         self._loop = asyncio.get_running_loop()
         self._check_timer = self._loop.call_later(CHECK_INTERVAL, self._check_timeouts)
 
@@ -97,7 +101,9 @@
     def _open(self, engine: bytes, address: Address) -> UpstreamConnection | None:
         for _ in range(MAX_OPEN_TRIES):
             try:
-                connection = UpstreamConnection(self._listener, engine, address, self.limits.connect_timeout)
+                connection = UpstreamConnection(
+                    self._listener, engine, address, self.limits.connect_timeout, self._memory
+                )
             except OSError as error:
                 if not self._descriptor_exhaustion.report_if_exhausted(error, "connect"):
                     log.error("socket creation failed", reason=str(error))
--- a/saffronlane/platform/upstream/protocol.py
+++ b/saffronlane/platform/upstream/protocol.py
@@ -9,7 +9,7 @@
 import math
 from typing import NamedTuple
 
-from ...resp import encode_command
+from ...resp import encode_command, encode_command_parts
 from ..errors import InvalidResponse
 from ..statement import Statement
 
@@ -45,6 +45,7 @@
 NO_FIELDS = b"-"
 ELEMENTS_PER_RESPONSE = 4
 MAX_COUNT_DIGITS = 9
+MAX_COPIED_BYTES = 16_384  # a longer statement is not copied into the command
 
 
 class Response(NamedTuple):
@@ -69,8 +70,8 @@
         return cls(status, parse_fields(fields), body)
 
 
-def execute_command(statement: Statement, timeout: float, memory_grant_mb: float) -> bytes:
-    """Encode the command that starts an attempt.
+def execute_command(statement: Statement, timeout: float, memory_grant_mb: float) -> list[bytes]:
+    """Encode the command that starts an attempt, in parts of which a long statement is one, not copied.
 
     Args:
         statement: The statement, which is passed on unchanged.
@@ -86,7 +87,10 @@
         fields.append(IDEMPOTENCY_KEY + b"=" + statement.idempotency_key)
     if memory_grant_mb >= 1.0:
         fields.append(MEMORY_GRANT_MB + b"=%d" % round(memory_grant_mb))
-    return encode_command(EXECUTE, statement.request_id, b",".join(fields), statement.body)
+    elements = EXECUTE, statement.request_id, b",".join(fields), statement.body
+    if len(statement.body) <= MAX_COPIED_BYTES:
+        return [encode_command(*elements)]
+    return encode_command_parts(*elements)
 
 
 def cancel_command(request_id: bytes) -> bytes:
--- a/saffronlane/platform/upstream/transport.py
+++ b/saffronlane/platform/upstream/transport.py
@@ -11,6 +11,7 @@
 from ...interface import Outcome, ProbeResult
 from ..config import Address
 from ..descriptors import DescriptorExhaustion
+from ..memory_budget import MemoryBudget
 from . import protocol
 from .attempt import UpstreamAttempt
 from .client import response_sink
@@ -28,6 +29,7 @@
         limits: The limits of the connections.
         address_of: Returns the address of a compute node by its id; None if the compute node is not listed.
         descriptor_exhaustion: Reports errors that are due to a lack of descriptors.
+        memory: The budget in which the statements of ended attempts count that were sent in part.
     """
 
     def __init__(
@@ -35,8 +37,9 @@
         limits: UpstreamLimits,
         address_of: Callable[[bytes], Address | None],
         descriptor_exhaustion: DescriptorExhaustion,
+        memory: MemoryBudget,
     ) -> None:
-        self.pool = UpstreamPool(limits, address_of, descriptor_exhaustion, self)
+        self.pool = UpstreamPool(limits, address_of, descriptor_exhaustion, self, memory)
         self.max_send_delay = 0.0  # seconds from a dispatch to the first byte, since the last report
         self.expired_count = 0  # attempts that were not sent by their send deadline
         self._loop = asyncio.get_running_loop()
@@ -109,6 +112,10 @@
         """Answer a request with an error."""
         response_sink(request).send_failure(reason)
 
+    def on_request_removed(self, request: Request) -> None:
+        """Notify the sink of a request that nothing is kept for it any more."""
+        response_sink(request).on_request_removed()
+
     # --- probes and connections, for the executor and the server ---
 
     def probe(self, engine: bytes) -> None:
--- a/saffronlane/resp/arrays.py
+++ b/saffronlane/resp/arrays.py
@@ -23,6 +23,15 @@
     return b"".join(parts)
 
 
+def encode_command_parts(*elements: bytes) -> list[bytes]:
+    """Encode a command as an array of bulk strings, in parts of which the last element is one, not copied."""
+    *leading, last = elements
+    parts = [b"*%d\r\n" % len(elements)]
+    parts += [b"$%d\r\n%b\r\n" % (len(element), element) for element in leading]
+    parts.append(b"$%d\r\n" % len(last))
+    return [b"".join(parts), last, LINE_END]
+
+
 class ParsedArrays(NamedTuple):
     """The complete arrays, in order, and the error in the bytes that follow them, if any."""
 
--- a/tests/node/support.py
+++ b/tests/node/support.py
@@ -35,6 +35,7 @@
 from saffronlane.platform.upstream.connection import UpstreamConnection
 
 REQUEST_ID = "9b1f03aa5c7e2d41"
+SMALL_BUFFER_BYTES = 8_192
 
 
 def request_id(n: int) -> str:
@@ -166,6 +167,20 @@
     return may_connect
 
 
+def use_small_buffers(harness: Harness, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Make the system buffer little between the server and its compute nodes."""
+    connect = UpstreamConnection.connect
+
+    async def connect_with_small_buffer(connection: UpstreamConnection) -> None:
+        await connect(connection)
+        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+
+    monkeypatch.setattr(UpstreamConnection, "connect", connect_with_small_buffer)
+    for compute_node in harness.compute_nodes:
+        assert compute_node.server is not None
+        compute_node.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+
+
 def assume_default_open_descriptors(monkeypatch: pytest.MonkeyPatch) -> None:
     """Make the server ignore the open descriptors of the test process and assume the default number."""
     monkeypatch.setattr(
--- a/tests/node/test_command_sender.py
+++ b/tests/node/test_command_sender.py
@@ -9,6 +9,7 @@
 import pytest
 
 from saffronlane.interface import Outcome
+from saffronlane.platform.memory_budget import MemoryBudget
 from saffronlane.platform.upstream.command_sender import CommandSender
 
 
@@ -21,7 +22,7 @@
             bytes_accepted=100,
             writing=lambda: False,
             peek=lambda: None,
-            send_now=lambda data: 0,
+            send_now=lambda parts: 0,
             closed=lambda: True,
         )
 
@@ -52,7 +53,8 @@
         "deferral_count": 3,
         "request": SimpleNamespace(is_answered=False, responder=client, sink=client),
         "send_deadline": math.inf,
-        "encode": lambda now: b"fetch",
+        "encode": lambda now: [b"fetch"],
+        "unwritten_bytes": 0,
     }
     return SimpleNamespace(**(fields | changes))
 
@@ -61,7 +63,7 @@
 def test_attempt_ends_at_a_break_only_if_it_cannot_have_run(may_have_run: bool) -> None:
     attempt = make_attempt(may_have_run=may_have_run)
     listener = RecordingListener()
-    sender = CommandSender(BrokenConnection(), listener)  # type: ignore[arg-type]
+    sender = CommandSender(BrokenConnection(), listener, MemoryBudget(1e6))  # type: ignore[arg-type]
     sender.enqueue_attempt(attempt)
     sender.flush()
     assert (attempt.sent_at, attempt.end_offset) == (7.0, 105)
@@ -80,7 +82,7 @@
             bytes_accepted=100,
             writing=lambda: False,
             peek=lambda: None,
-            send_now=lambda data: None,
+            send_now=lambda parts: None,
             call_when_writable=self.writable_callbacks.append,
         )
 
@@ -91,7 +93,7 @@
 def test_attempt_of_which_the_kernel_accepts_nothing_can_be_withdrawn() -> None:
     """Guards against an attempt in the stream's write buffer, which leaves whatever happens meanwhile."""
     connection = UnreadConnection()
-    sender = CommandSender(connection, RecordingListener())  # type: ignore[arg-type]
+    sender = CommandSender(connection, RecordingListener(), MemoryBudget(1e6))  # type: ignore[arg-type]
     attempt = make_attempt()
     sender.enqueue_attempt(attempt)
     sender.flush()
@@ -105,7 +107,7 @@
 def test_attempt_whose_send_deadline_has_passed_ends_as_not_sent() -> None:
     """Guards against a retry that a late event loop sends after what it was decided on has changed."""
     connection, listener = UnreadConnection(), RecordingListener()
-    sender = CommandSender(connection, listener)  # type: ignore[arg-type]
+    sender = CommandSender(connection, listener, MemoryBudget(1e6))  # type: ignore[arg-type]
     in_time, late = make_attempt(send_deadline=7.5), make_attempt(send_deadline=7.2)
     sender.enqueue_attempt(in_time)
     sender.enqueue_attempt(late)
--- a/tests/node/test_unread_commands.py
+++ b/tests/node/test_unread_commands.py
@@ -3,20 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import pytest
 from platform_world import SETTINGS, ComputeNode, ComputeNodeConnection, Harness
 
-from saffronlane.platform.upstream.connection import UpstreamConnection
-
-from .support import request_id, run_with_harness
+from .support import request_id, run_with_harness, use_small_buffers
 
 LONG_STATEMENT = b"SELECT '" + b"x" * 200_000 + b"'"
 STATEMENT_COUNT = 8  # long statements, more than the system buffers for a node that does not read
 KEY_TTL = 1.0  # seconds
-SMALL_BUFFER_BYTES = 8_192
 
 
 class HangingNode:
@@ -51,20 +47,6 @@
         connection.send_result(command[1])
 
 
-def use_small_buffers(harness: Harness, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Make the system buffer little between the server and its compute nodes."""
-    connect = UpstreamConnection.connect
-
-    async def connect_with_small_buffer(connection: UpstreamConnection) -> None:
-        await connect(connection)
-        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
-
-    monkeypatch.setattr(UpstreamConnection, "connect", connect_with_small_buffer)
-    for compute_node in harness.compute_nodes:
-        assert compute_node.server is not None
-        compute_node.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-
-
 def only_hanging_node_is_busy(harness: Harness) -> Callable[[], bool]:
     """Return a condition: commands wait for the node that does not read, and the other one has answered."""
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -231,7 +231,7 @@
                 await asyncio.sleep(0.005)
 
     def table_sizes(self) -> dict[str, int]:
-        """Return the size of every table that holds entries of requests and attempts."""
+        """Return the size of every table of requests and attempts, and the bytes that are kept for them."""
         server, dispatcher = self.server, self.server.dispatcher
         gateway = dispatcher.gateway
         return {
@@ -241,6 +241,7 @@
             "in_flight_attempts": len(gateway.in_flight.attempts),
             "queued_requests": len(gateway.pending.queued),
             "open_request_ids": len(server.downstream.open_request_ids),
+            "held_bytes": server.memory.held_bytes,
             "connection_attempts": sum(
                 len(connection.attempts)
                 for connections in server.upstream.pool.connections_by_engine.values()
--- a/tests/test_msgpackrpc.py
+++ b/tests/test_msgpackrpc.py
@@ -171,3 +171,56 @@
     for message in new_scanner().feed(bytes(data))[0]:
         with contextlib.suppress(rpc.InvalidMessageError):
             rpc.decode_message(message)
+
+
+@given(
+    st.lists(st.integers(0, 3000), min_size=1, max_size=4),
+    st.lists(st.integers(1, 900), min_size=1, max_size=30),
+    st.integers(0, 20),
+)
+def test_a_discarded_message_ends_where_it_would_have_ended(
+    body_sizes: list[int], piece_sizes: list[int], discarded_piece: int
+) -> None:
+    """Guards against a connection that loses its place in the input when a message is not kept."""
+    calls = [encode_call(number, b"x" * size, rid="r") for number, size in enumerate(body_sizes)]
+    data = b"".join(calls)
+    scanner = new_scanner()
+    found: list[bytes | rpc.DiscardedMessage] = []
+    start = 0
+    for number in range(len(data)):
+        size = piece_sizes[number % len(piece_sizes)]
+        messages, error = scanner.feed(data[start : start + size])
+        start += size
+        assert error is None
+        found += messages
+        if number == discarded_piece:
+            scanner.discard_message()
+            assert scanner.pending_bytes <= 20
+        if start >= len(data):
+            break
+    assert len(found) == len(calls) and not scanner.is_within_message
+    for number, (call, message) in enumerate(zip(calls, found, strict=True)):
+        if isinstance(message, rpc.DiscardedMessage):
+            assert rpc.read_call_id(message.head) == number
+        else:
+            assert message == call
+
+
+def test_a_discarded_message_is_limited_in_size_all_the_same() -> None:
+    scanner = new_scanner()
+    scanner.feed(b"\x94\x00\x07\xa6report\x92\x80\x92\xc5\x0c\x00" + b"x" * 2000)
+    scanner.discard_message()
+    _, error = scanner.feed(b"x" * 1072 + b"\xc5\x08\x00")
+    assert error is not None
+
+
+@pytest.mark.parametrize("message_id", [0, 127, 128, 255, 256, 65_535, 65_536, 2**32 - 1])
+def test_the_id_of_a_call_is_read_from_its_first_bytes(message_id: int) -> None:
+    assert rpc.read_call_id(encode_call(message_id, b"x" * 40)) == message_id
+
+
+def test_other_messages_have_no_call_id() -> None:
+    assert rpc.read_call_id(msgspec.msgpack.encode([2, "forget", [7] * 20])) is None
+    assert rpc.read_call_id(msgspec.msgpack.encode([1, 7, None, ["x" * 20]])) is None
+    assert rpc.read_call_id(msgspec.msgpack.encode([0, 2**32, "m", ["x" * 20]])) is None
+    assert rpc.read_call_id(msgspec.msgpack.encode([0, "7", "m", ["x" * 20]])) is None
