--- a/saffronlane/engines/flight.py
+++ b/saffronlane/engines/flight.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,7 +27,7 @@
 from ..rpc import Channel, ClientCall, Code, Ending, RpcError, Status
 from ..rpc.status import detailed_status
 from . import orca
-from .errors import ConnectFailed
+from .errors import ConnectFailed, SendDeadlineExceeded
 from .executor import Executor
 from .outcomes import Verdict, classify
 from .pool import Pool, PoolLimits
@@ -309,6 +310,9 @@
         except ConnectFailed as error:
             attempt.request.last_error = str(error)
             verdict = Verdict(api.Outcome.RESET if attempt.was_sent else api.Outcome.CONNECT_FAILED)
+        except SendDeadlineExceeded as error:
+            attempt.request.last_error = str(error)
+            verdict = Verdict(api.Outcome.NOT_SENT)
         except (DecodeError, RpcError) as error:
             attempt.request.last_error = str(error)
             verdict = Verdict(api.Outcome.ERROR if attempt.was_sent else api.Outcome.NOT_SENT)
@@ -390,7 +394,7 @@
             return answer
         verdict = Verdict(api.Outcome.OK)  # for a FlightInfo without endpoints: the result is empty
         for endpoint in flight.FlightInfo.FromString(answer).endpoint:
-            call = await self._start_call(attempt, "DoGet")
+            call = await self._start_call(attempt, "DoGet", has_send_deadline=False)
             call.write_now(endpoint.ticket.SerializeToString(), end=True)
             verdict = await self._stream_result(attempt, call)
             if verdict.outcome is not api.Outcome.OK:
@@ -456,12 +460,45 @@
         await call.write(messages[-1], end=True)
         return call
 
-    async def _start_call(self, attempt: _FlightAttempt, method: str) -> ClientCall:
+    async def _channel_in_time(self, attempt: _FlightAttempt, pool: Pool) -> Channel:
+        """Wait for a channel on which a call of the attempt leaves at once.
+
+        Raises:
+            SendDeadlineExceeded: There is none before the send deadline.
+        """
+        try:
+            async with asyncio.timeout_at(attempt.send_deadline):
+                channel = await pool.channel()
+                await channel.wait_until_written()
+        except TimeoutError:
+            raise SendDeadlineExceeded(f"not sent within {attempt.effect.send_timeout:.3f} s") from None
+        if self._loop.time() > attempt.send_deadline:  # without a wait above, its timeout does not expire
+            raise SendDeadlineExceeded(f"not sent within {attempt.effect.send_timeout:.3f} s")
+        return channel
+
+    async def _start_call(
+        self, attempt: _FlightAttempt, method: str, has_send_deadline: bool = True
+    ) -> ClientCall:
+        """Start a call of an attempt.
+
+        Args:
+            attempt: The attempt.
+            method: The name of the method.
+            has_send_deadline: Whether the send deadline of the attempt applies. It does not to a call that
+                only fetches what an earlier call has run.
+
+        Raises:
+            ConnectFailed: The engine has no address or cannot be reached.
+            SendDeadlineExceeded: The call could not be sent in time.
+        """
         pool = self._pool(attempt.engine)
         if pool is None:
             raise ConnectFailed("no address: the engine is not in the endpoint list")
         effect = attempt.effect
-        channel = await pool.channel()
+        if has_send_deadline and attempt.send_deadline < math.inf:
+            channel = await self._channel_in_time(attempt, pool)
+        else:
+            channel = await pool.channel()
         remaining = attempt.started_at + effect.timeout - self._loop.time()
         attempt_headers: list[tuple[str, str | bytes]] = [
             ("saffronlane-gateway", self._gateway_name),
--- a/saffronlane/http2/transport.py
+++ b/saffronlane/http2/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -90,6 +91,15 @@
         if self.http.closed and not self._is_write_blocked:
             self._loop.call_soon(self._stream.close)
 
+    async def wait_until_written(self) -> None:
+        """Wait until the kernel has accepted all frames that can be sent; a lost connection ends the wait."""
+        with contextlib.suppress(StreamClosedError):
+            while self._is_flush_scheduled or self._stream.writing():
+                if self._stream.writing():
+                    await self._stream.write(b"")  # completes after all earlier writes
+                else:
+                    await asyncio.sleep(0)
+
     def _on_write_done(self, _: object) -> None:
         self._is_write_blocked = False
         self.flush()
--- a/saffronlane/rpc/client.py
+++ b/saffronlane/rpc/client.py
@@ -153,6 +153,11 @@
         """Whether a call can be started now."""
         return self._transport is not None and not self.closed and self._transport.http.can_open_stream
 
+    async def wait_until_written(self) -> None:
+        """Wait until nothing that was queued earlier has to be written before the next call."""
+        if self._transport is not None:
+            await self._transport.wait_until_written()
+
     @property
     def is_draining(self) -> bool:
         """Whether no further call can be started: the peer has sent GOAWAY or the connection is not open."""
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
 
 from saffronlane import dispatch
 from saffronlane import interface as api
@@ -18,8 +22,8 @@
 from saffronlane.engines.flight import FlightStatement, FlightTransport, FlightTransportLimits
 from saffronlane.engines.outcomes import NEVER_RAN_REASON, Verdict, classify
 from saffronlane.engines.pool import PoolLimits
-from saffronlane.http2 import ErrorCode
-from saffronlane.http2.transport import local_sockets
+from saffronlane.http2 import ConnectionLimits, ErrorCode
+from saffronlane.http2.transport import Transport, local_sockets
 from saffronlane.interface import Outcome, ProgressKind
 from saffronlane.proto import flight_pb2 as flight
 from saffronlane.proto.orca_pb2 import OrcaLoadReport
@@ -75,11 +79,17 @@
         super().__init__(settings, 1)
         self.attempt_ends: list[dispatch.AttemptDone] = []
         self.progress_reports: list[dispatch.AttemptProgress] = []
+        self.send_timeout = math.inf  # of the attempts that start from now on
 
     def step(self, now: float, inputs: list[dispatch.Input]) -> list[dispatch.Effect]:
         self.attempt_ends += [i for i in inputs if isinstance(i, dispatch.AttemptDone)]
         self.progress_reports += [i for i in inputs if isinstance(i, dispatch.AttemptProgress)]
-        return super().step(now, inputs)
+        return [
+            replace(effect, send_timeout=self.send_timeout)
+            if isinstance(effect, dispatch.StartAttempt)
+            else effect
+            for effect in super().step(now, inputs)
+        ]
 
 
 class RecordingSink:
@@ -481,6 +491,68 @@
     run(test_body)
 
 
+def test_retry_that_waits_for_a_free_stream_is_not_sent_after_its_send_deadline() -> None:
+    """Guards against a keyed retry that reaches its engine after the engine has dropped the key."""
+    received: list[float] = []
+
+    async def test_body() -> None:
+        loop = asyncio.get_running_loop()
+
+        async def hold_first(call: ServerCall) -> None:
+            received.append(loop.time())
+            if len(received) == 1:
+                await asyncio.sleep(0.8)
+            await send_flight_info(call)
+
+        async def send_nothing(call: ServerCall) -> None:
+            await call.read()
+
+        handlers = {SERVICE + "GetFlightInfo": hold_first, SERVICE + "DoGet": send_nothing}
+        server = Server(handlers, ConnectionLimits(max_streams=1))
+        sockets = local_sockets("127.0.0.1", 0)
+        harness = Harness(None, pool=PoolLimits(connect_timeout=0.3, max_connections=1))
+        harness.port = sockets[0].getsockname()[1]
+        server.listen(sockets)
+        _, first = harness.submit()
+        while not received:
+            await asyncio.sleep(0.005)
+        harness.dispatcher.send_timeout = 0.2
+        _, late = harness.submit()
+        attempt_end = await harness.first_attempt_end()
+        assert attempt_end.outcome is Outcome.NOT_SENT
+        await first.ended.wait()
+        await late.ended.wait()
+        await asyncio.sleep(0.2)
+        assert len(received) == 1
+        harness.close()
+        server.close()
+
+    run(test_body)
+
+
+def test_transport_waits_until_the_peer_has_read_what_was_queued() -> None:
+    """Guards against a retry that lies in the write buffer of a connection whose peer does not read."""
+
+    async def test_body() -> None:
+        near, far = socket.socketpair()
+        stream = IOStream(near)
+        transport = Transport(stream, True, lambda _: None, lambda _: None)
+        await transport.wait_until_written()
+        unread = stream.write(b"x" * 4_000_000)
+        waiting = asyncio.ensure_future(transport.wait_until_written())
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        far.setblocking(False)
+        loop = asyncio.get_running_loop()
+        while not waiting.done():
+            await loop.sock_recv(far, 1_000_000)
+        await unread
+        transport.close()
+        far.close()
+
+    run(test_body)
+
+
 def test_new_connection_is_found_in_the_event_loop_turn_in_which_it_is_established(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
