--- a/saffronlane/policy/routing/rendezvous.py
+++ b/saffronlane/policy/routing/rendezvous.py
@@ -7,6 +7,7 @@
 HOME_ENGINES = 4  # first engines of an order; the own zone's come first if crossing zones is costly
 MIN_CROSS_ZONE_PRICE = 0.03  # points of the service score; at this price and above, crossing zones is costly
 MAX_CACHED_ORDERS = 4096  # orders; the number of table groups is up to the clients
+MAX_CACHED_POSITIONS = 2_097_152  # engines in all cached orders together, at 8 bytes each
 DIGEST_SIZE = 8  # bytes
 
 
@@ -24,11 +25,16 @@
         order = self.cached_orders.get((table_group, hash_seed))
         if order is None:
             order = self._compute(table_group, hash_seed)
-            if len(self.cached_orders) >= MAX_CACHED_ORDERS:
+            if not self._has_room(order):
                 self.cached_orders.clear()
             self.cached_orders[table_group, hash_seed] = order
         return order
 
+    def _has_room(self, order: list[Engine]) -> bool:
+        """Return whether another order may be cached; all cached orders have the same length."""
+        order_count = len(self.cached_orders) + 1
+        return order_count <= MAX_CACHED_ORDERS and order_count * len(order) <= MAX_CACHED_POSITIONS
+
     def _compute(self, table_group: float, hash_seed: int) -> list[Engine]:
         """Sort the ready engines by their hashes with the table group."""
         prefix = repr((float(table_group), hash_seed)).encode()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,7 +9,7 @@
 from random import Random
 
 import pytest
-from conftest import engine_id, make_settings, one_class
+from conftest import Driver, engine_id, make_settings, one_class
 
 from saffronlane import dispatch
 from saffronlane import interface as api
@@ -446,3 +446,19 @@
         harness.step(dispatch.ClientDisconnected(request))
         harness.end_attempt(request, Outcome.CANCELLED)
     assert len(harness.dispatcher.gateway.engine_selector.eligibility.rendezvous_order.cached_orders) <= 4_096
+
+
+POINTER_BYTES = 8
+
+
+def test_cache_of_rendezvous_orders_is_bounded_in_a_large_fleet() -> None:
+    """Guards against orders of 105 MB: with 3,200 engines, each of 4,096 cached orders has 25 KB."""
+    driver = Driver(make_settings(), engines=1)
+    driver.update_endpoints(
+        [api.EngineEntry(n.to_bytes(6, "big"), api.EngineState.READY) for n in range(1, 3_201)]
+    )
+    rendezvous_order = driver.gateway.engine_selector.eligibility.rendezvous_order
+    rendezvous_order._compute = lambda *_: driver.gateway.engine_registry.ready  # the order does not matter
+    for table_group in range(5_000):
+        rendezvous_order(float(table_group))
+        assert len(rendezvous_order.cached_orders) * 3_200 * POINTER_BYTES <= 16.8e6
