--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -290,10 +290,16 @@
             self.call_after_pending_input(self._drain_idle)
 
     def _message_timed_out(self, now: float) -> bool:
-        """Return whether a message has started and its rest is overdue."""
-        has_stalled = now > self.last_received_at + RECEIVE_TIMEOUT
-        is_overdue = now > self.message_started_at + MESSAGE_TIMEOUT
-        return self.scanner.is_within_message and (has_stalled or is_overdue)
+        """Return whether a message has started and its rest is overdue.
+
+        While a request is open, nothing is overdue: the connection could not tell the client that it drops
+        the rest of the message before that request is answered.
+        """
+        if self.has_pending_work or not self.scanner.is_within_message:
+            return False
+        has_stalled = now > max(self.last_received_at, self.idle_since) + RECEIVE_TIMEOUT
+        is_overdue = now > max(self.message_started_at, self.idle_since) + MESSAGE_TIMEOUT
+        return has_stalled or is_overdue
 
     def _drain_unfinished(self) -> None:
         if self._message_timed_out(self.loop.time()) and not self.has_unprocessed_input:
--- a/tests/node/test_closing.py
+++ b/tests/node/test_closing.py
@@ -23,6 +23,7 @@
     SyncClient,
     delay_connections,
     encode_call,
+    hold_fetches,
     never_answer,
     paged_results,
     request_id,
@@ -674,3 +675,42 @@
             flood.close()
 
     asyncio.run(scenario())
+
+
+def test_a_message_that_pauses_while_a_request_is_open_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that is swallowed: its second half was dropped until the first one's reply."""
+    monkeypatch.setattr(client_connection, "RECEIVE_TIMEOUT", 0.2)
+    held_fetches: list[tuple[ComputeNodeConnection, bytes]] = []
+
+    async def scenario(harness: Harness) -> None:
+        client = await harness.client()
+        client.send_raw(encode_call(1, rid=request_id(1)))
+        await harness.wait_until(lambda: held_fetches)
+        later_call = encode_call(2, rid=request_id(2))
+        client.send_raw(later_call[:40])
+        await asyncio.sleep(1.0)
+        client.send_raw(later_call[40:])
+        await harness.wait_until(lambda: len(held_fetches) == 2)
+        for connection, held_id in held_fetches:
+            connection.send_result(held_id)
+        assert await client.read_answer(1) == (None, [ROWS, {}])
+        assert await client.read_answer(2) == (None, [ROWS, {}])
+
+    run_with_harness(scenario, hold_fetches(held_fetches), hold_fetches(held_fetches))
+
+
+def test_a_message_that_pauses_after_the_last_reply_ends_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time for the rest of the message begins with the reply; then the connection says that it ends."""
+    monkeypatch.setattr(client_connection, "RECEIVE_TIMEOUT", 0.5)
+
+    async def scenario(harness: Harness) -> None:
+        client = await harness.client()
+        client.send_raw(encode_call(1, rid=request_id(1)) + encode_call(2, rid=request_id(2))[:40])
+        assert await client.read_answer(1) == (None, [ROWS, {}])
+        replied_at = asyncio.get_running_loop().time()
+        await client.wait_closed()
+        assert asyncio.get_running_loop().time() >= replied_at + 0.4
+
+    run_with_harness(scenario)
