--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -15,6 +15,7 @@
 from ..memory_budget import MemoryHolder
 from ..stream import Stream
 from .fault_replies import DelayedFaultReplies
+from .message_reader import MAX_MESSAGE_BYTES, MessageReader
 from .reply_channel import FAULT_ERROR, ReplyChannel, rejection
 
 if TYPE_CHECKING:
@@ -26,15 +27,11 @@
 CANCEL_METHOD = "forget"
 HEALTH_CHECK_METHOD = "isWell"
 
-MAX_MESSAGE_BYTES = 262_144
-MAX_MESSAGE_ITEMS = 256
-SMALL_MESSAGE_BYTES = 1_024  # a partial message up to this size is always kept
 MAX_OPEN_REQUESTS = 32  # the protocol's limit for each connection
 REQUEST_OVERHEAD_BYTES = 4_096  # kept for each open request besides its statement
 MAX_REPLY_BYTES = 49_152
 MAX_UNREAD_BYTES = MAX_OPEN_REQUESTS * MAX_REPLY_BYTES  # reply bytes that a client may leave unread
-RECEIVE_TIMEOUT = 2.0  # seconds to wait for the first message, or for the next byte of a partial message
-MESSAGE_TIMEOUT = 10.0  # seconds from the first to the last byte of a message
+FIRST_MESSAGE_TIMEOUT = 2.0  # seconds to wait for the first message of a connection
 IDLE_TIMEOUT = 5.0  # seconds without an open request; clients close idle connections after 4 s
 MAX_INVALID_MESSAGES = 8  # number of invalid messages after which a connection is closed
 CONNECTION_LIMITS = ConnectionLimits(stall_timeout=IDLE_TIMEOUT)
@@ -73,13 +70,10 @@
         self.memory = MemoryHolder(server.memory)  # of open requests and of a message that has begun
         self.opened_at = now
         self.idle_since = now
-        self.message_started_at = now
-        self.last_received_at = now
         self.has_sent_message = False
         self.request_count = 0
         self.invalid_message_count = 0
-        self.scanner = rpc.Scanner(MAX_MESSAGE_BYTES, MAX_MESSAGE_ITEMS)
-        self._counted_bytes = 0  # of the message that has begun, as counted in `memory`
+        self.reader = MessageReader(self.memory, now)
         self._can_parse_input = True
         self._output: list[bytes] = []
         self._fault_replies = DelayedFaultReplies(self.write, self._update_idle)
@@ -90,12 +84,7 @@
         """Parse received bytes and process the messages that they complete."""
         if not self._can_parse_input:
             return
-        self.last_received_at = self.loop.time()
-        was_between_messages = not self.scanner.is_within_message
-        messages, error = self.scanner.feed(data)
-        self._count_partial_message()
-        if was_between_messages or messages:
-            self.message_started_at = self.last_received_at
+        messages, error = self.reader.feed(data, self.loop.time())
         for message in messages:
             if not self.lifecycle.processes_input:
                 return
@@ -110,16 +99,6 @@
             self._can_parse_input = False
             self.drain("input unreadable")
 
-    def _count_partial_message(self) -> None:
-        """Count the message that has begun; if there is no memory for it, its bytes are not kept."""
-        pending_bytes = self.scanner.pending_bytes
-        is_small = pending_bytes <= SMALL_MESSAGE_BYTES
-        if not is_small and not self.memory.admits(pending_bytes - self._counted_bytes):
-            self.scanner.discard_message()
-            pending_bytes = self.scanner.pending_bytes
-        self.memory.add(pending_bytes - self._counted_bytes)
-        self._counted_bytes = pending_bytes
-
     def _on_message(self, data: bytes | rpc.DiscardedMessage) -> None:
         if isinstance(data, rpc.DiscardedMessage):
             self._on_discarded_message(data)
@@ -267,7 +246,7 @@
         """Whether the connection has no open request, partial message, unsent reply or unprocessed input."""
         is_busy = (
             self.has_pending_work
-            or self.scanner.is_within_message
+            or self.reader.is_within_message
             or self.has_pending_output
             or self.has_unprocessed_input
         )
@@ -280,11 +259,11 @@
                 self.abort("replies not read")
         elif not self.lifecycle.accepts_work:
             return  # the lifecycle enforces the timeouts of a closing connection
-        elif self.scanner.is_within_message:
+        elif self.reader.is_within_message:
             if self._message_timed_out(now):
                 self.call_after_pending_input(self._drain_unfinished)
         elif not self.has_sent_message and not self.has_pending_work:
-            if now > self.opened_at + RECEIVE_TIMEOUT:
+            if now > self.opened_at + FIRST_MESSAGE_TIMEOUT:
                 self.call_after_pending_input(self._drain_idle)
         elif now > self.idle_since + IDLE_TIMEOUT:
             self.call_after_pending_input(self._drain_idle)
@@ -295,11 +274,7 @@
         While a request is open, nothing is overdue: the connection could not tell the client that it drops
         the rest of the message before that request is answered.
         """
-        if self.has_pending_work or not self.scanner.is_within_message:
-            return False
-        has_stalled = now > max(self.last_received_at, self.idle_since) + RECEIVE_TIMEOUT
-        is_overdue = now > max(self.message_started_at, self.idle_since) + MESSAGE_TIMEOUT
-        return has_stalled or is_overdue
+        return not self.has_pending_work and self.reader.is_overdue(now, self.idle_since)
 
     def _drain_unfinished(self) -> None:
         if self._message_timed_out(self.loop.time()) and not self.has_unprocessed_input:
@@ -313,8 +288,7 @@
     def on_closed(self, event: Event, reason: str) -> None:
         """Cancel the open requests of a client whose connection has closed."""
         self._fault_replies.discard()
-        self.memory.add(-self._counted_bytes)
-        self._counted_bytes = 0
+        self.reader.close()
         for request in self.open_requests.values():
             self.server.cancel(request.number, request.request_id)
         self.open_requests.clear()
--- a/saffronlane/platform/downstream/connection_eviction.py
+++ b/saffronlane/platform/downstream/connection_eviction.py
@@ -100,7 +100,7 @@
         for client in self._without_message:
             if client.opened_at >= now - NEW_CONNECTION_PROTECTION:
                 return None
-            has_partial = client.scanner.is_within_message
+            has_partial = client.reader.is_within_message
             if (
                 client.lifecycle.accepts_work
                 and has_partial is with_partial
--- a/tests/node/test_closing.py
+++ b/tests/node/test_closing.py
@@ -15,7 +15,7 @@
 
 from saffronlane.msgpackrpc import Scanner
 from saffronlane.platform import managed_connection, stream
-from saffronlane.platform.downstream import client_connection
+from saffronlane.platform.downstream import client_connection, message_reader
 from saffronlane.platform.lifecycle import ConnectionLimits, Phase
 from saffronlane.platform.upstream.connection import UpstreamConnection
 
@@ -541,7 +541,7 @@
     """The checks of one client and one engine connection fail. The other connections are still closed."""
 
     async def scenario(harness: Harness) -> None:
-        monkeypatch.setattr(client_connection, "RECEIVE_TIMEOUT", 0.3)
+        monkeypatch.setattr(client_connection, "FIRST_MESSAGE_TIMEOUT", 0.3)
         downstream, upstream = harness.server.downstream, harness.server.upstream
         client = await harness.client()
         assert (await client.read_answer(client.call("ask", request_id(1))))[0] is None
@@ -679,7 +679,7 @@
 
 def test_a_message_that_pauses_while_a_request_is_open_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a request that is swallowed: its second half was dropped until the first one's reply."""
-    monkeypatch.setattr(client_connection, "RECEIVE_TIMEOUT", 0.2)
+    monkeypatch.setattr(message_reader, "RECEIVE_TIMEOUT", 0.2)
     held_fetches: list[tuple[ComputeNodeConnection, bytes]] = []
 
     async def scenario(harness: Harness) -> None:
@@ -703,7 +703,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The time for the rest of the message begins with the reply; then the connection says that it ends."""
-    monkeypatch.setattr(client_connection, "RECEIVE_TIMEOUT", 0.5)
+    monkeypatch.setattr(message_reader, "RECEIVE_TIMEOUT", 0.5)
 
     async def scenario(harness: Harness) -> None:
         client = await harness.client()
