--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -63,7 +63,8 @@
         except BlockingIOError:
             return None
         except OSError:
-            return 0
+            count = 0
+        self._stop_watching()  # a `write` of the rest watches the descriptor itself
         self._bytes_sent_directly += count
         return count
 
--- a/saffronlane/platform/upstream/command_sender.py
+++ b/saffronlane/platform/upstream/command_sender.py
@@ -35,6 +35,7 @@
         self._listener = listener
         self._queue = CommandQueue()
         self._unwritten = MemoryHolder(memory)
+        self._is_closed = False
 
     @property
     def has_queued(self) -> bool:
@@ -53,8 +54,9 @@
         """Remove the queued command of an attempt."""
         self._queue.withdraw(attempt)
 
-    def clear(self) -> None:
-        """Remove all queued commands; what was sent in part is dropped with the stream."""
+    def close(self) -> None:
+        """Remove all queued commands. What was sent in part is dropped with the stream."""
+        self._is_closed = True
         self._queue.clear()
         self._unwritten.add(-self._unwritten.held_bytes)
 
@@ -115,7 +117,8 @@
 
     def on_attempt_ended(self, attempt: UpstreamAttempt) -> None:
         """Count the statement of an ended attempt for as long as its rest has to be written."""
-        self._unwritten.add(attempt.unwritten_bytes)
+        if not self._is_closed:
+            self._unwritten.add(attempt.unwritten_bytes)
 
     def _send_next_batch(self) -> bool:
         """Send the next batch in one write; return whether further ones can follow."""
--- a/saffronlane/platform/upstream/connection.py
+++ b/saffronlane/platform/upstream/connection.py
@@ -161,7 +161,7 @@
 
     def release(self, attempt: UpstreamAttempt) -> None:
         """Remove an attempt that has ended."""
-        if self.attempts.pop(attempt.statement.request_id, None) is not None and not self.stream.closed():
+        if self.attempts.pop(attempt.statement.request_id, None) is not None:
             self._sender.on_attempt_ended(attempt)
         self.settle_if_idle()
 
@@ -193,7 +193,7 @@
             engine = self.engine.decode("utf-8", "replace")
             log.info("upstream connection lost", engine=engine, attempts=len(self.attempts), reason=reason)
         self._listener.on_connection_closed(self)
-        self._sender.clear()
+        self._sender.close()
         is_broken = event in (Event.BROKEN, Event.EOF)
         unsent_outcome = Outcome.CONNECT_FAILED if is_broken else Outcome.NOT_SENT
         for attempt in list(self.attempts.values()):
--- a/tests/node/test_memory_limits.py
+++ b/tests/node/test_memory_limits.py
@@ -158,6 +158,32 @@
     run_with_harness(scenario, hang)
 
 
+def test_a_statement_that_was_sent_in_part_does_not_count_after_its_connection_has_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a budget that shrinks with each connection that breaks during a write."""
+    resume = asyncio.Event()
+
+    async def hang(connection: ComputeNodeConnection, command: list[bytes]) -> None:
+        await resume.wait()
+
+    async def scenario(harness: Harness) -> None:
+        use_small_buffers(harness, monkeypatch)
+        client = await harness.client()
+        statement = b"SELECT '" + b"x" * 240_000 + b"'"
+        for number in range(1, 5):
+            client.call("frail", request_id(number), statement)
+        await harness.wait_until(lambda: harness.compute_nodes[0].received_commands)
+        (connection,) = harness.server.upstream.pool.connections()
+        await harness.wait_until(connection.stream.writing)
+        connection.abort("test")
+        client.close()
+        await harness.wait_until(lambda: not any(harness.table_sizes().values()))
+        resume.set()
+
+    run_with_harness(scenario, hang)
+
+
 def test_greedy_holders_leave_a_part_of_the_budget_free() -> None:
     budget = MemoryBudget(1000.0)
     greedy = [MemoryHolder(budget) for _ in range(9)]
--- a/tests/node/test_unread_commands.py
+++ b/tests/node/test_unread_commands.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
 
 import pytest
 from platform_world import SETTINGS, ComputeNode, ComputeNodeConnection, Harness
 
+from saffronlane.platform.stream import Stream
+
 from .support import request_id, run_with_harness, use_small_buffers
 
 LONG_STATEMENT = b"SELECT '" + b"x" * 200_000 + b"'"
@@ -115,3 +119,45 @@
         assert min(late) <= 2_000
 
     run_with_harness(scenario, script, script)
+
+
+def fill_kernel(stream: Stream) -> None:
+    """Send until the kernel accepts nothing more."""
+    while stream.send_now([b"x" * 10_000]) is not None:
+        pass
+
+
+async def read_all(peer: socket.socket) -> None:
+    """Read what the kernel holds, and what is written meanwhile."""
+    for _ in range(20):
+        with contextlib.suppress(BlockingIOError):
+            while peer.recv(100_000):
+                pass
+        await asyncio.sleep(0.005)
+
+
+def test_a_stream_that_was_full_twice_reports_each_time_that_it_can_be_written() -> None:
+    """Guards against commands that wait for ever: a write in between had replaced the callback."""
+
+    async def scenario() -> None:
+        near, far = socket.socketpair()
+        far.setblocking(False)
+        stream = Stream(near, 1_000_000, 10_000_000)
+        called: list[int] = []
+        fill_kernel(stream)
+        stream.call_when_writable(lambda: called.append(1))
+        far.recv(100_000)  # the kernel accepts bytes again, and the event loop has not reported it
+        data = b"y" * 5_000_000
+        sent_bytes = stream.send_now([data])
+        assert sent_bytes is not None and 0 < sent_bytes < len(data)
+        written = stream.write(memoryview(data)[sent_bytes:])
+        while not written.done():
+            await read_all(far)
+        fill_kernel(stream)
+        stream.call_when_writable(lambda: called.append(2))
+        await read_all(far)
+        assert called[-1:] == [2]
+        stream.close()
+        far.close()
+
+    asyncio.run(scenario())
