--- a/tests/node/test_memory_limits.py
+++ b/tests/node/test_memory_limits.py
@@ -10,6 +10,7 @@
 from platform_world import ROWS, SETTINGS, Client, ComputeNodeConnection, Harness
 
 from saffronlane.platform.memory_budget import MemoryBudget, MemoryHolder
+from saffronlane.platform.upstream.connection import UpstreamConnection
 
 from .support import (
     ServerProcess,
@@ -130,6 +131,21 @@
     run_with_harness(scenario, never_answer, limits=SCARCE_MEMORY)
 
 
+async def send_statement_in_part(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch, method: str
+) -> tuple[Client, UpstreamConnection]:
+    """Send statements until one of them is written in part; return the client and the connection."""
+    use_small_buffers(harness, monkeypatch)
+    client = await harness.client()
+    for number in range(1, 5):
+        client.call(method, request_id(number), LONG_STATEMENT)
+    await harness.wait_until(lambda: harness.server.dispatcher.in_flight_count == 4)
+    (connection,) = harness.server.upstream.pool.connections()
+    await harness.wait_until(lambda: harness.compute_nodes[0].received_commands)
+    await harness.wait_until(connection.stream.writing)
+    return client, connection
+
+
 def test_a_statement_that_was_sent_in_part_counts_until_it_is_written(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -140,18 +156,10 @@
         await resume.wait()
 
     async def scenario(harness: Harness) -> None:
-        use_small_buffers(harness, monkeypatch)
-        client = await harness.client()
-        statement = b"SELECT '" + b"x" * 240_000 + b"'"
-        for number in range(1, 5):
-            client.call("ask", request_id(number), statement)
-        await harness.wait_until(lambda: harness.server.dispatcher.in_flight_count == 4)
-        (connection,) = harness.server.upstream.pool.connections()
-        await harness.wait_until(lambda: harness.compute_nodes[0].received_commands)
-        await harness.wait_until(connection.stream.writing)
+        client, _ = await send_statement_in_part(harness, monkeypatch, "ask")
         client.close()
         await harness.wait_until(lambda: not harness.server.dispatcher.in_flight_count)
-        assert harness.server.memory.held_bytes == len(statement)
+        assert harness.server.memory.held_bytes == len(LONG_STATEMENT)
         resume.set()
         await harness.wait_until(lambda: not any(harness.table_sizes().values()))
 
@@ -162,26 +170,19 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a budget that shrinks with each connection that breaks during a write."""
-    resume = asyncio.Event()
-
-    async def hang(connection: ComputeNodeConnection, command: list[bytes]) -> None:
-        await resume.wait()
 
     async def scenario(harness: Harness) -> None:
-        use_small_buffers(harness, monkeypatch)
-        client = await harness.client()
-        statement = b"SELECT '" + b"x" * 240_000 + b"'"
-        for number in range(1, 5):
-            client.call("frail", request_id(number), statement)
-        await harness.wait_until(lambda: harness.compute_nodes[0].received_commands)
-        (connection,) = harness.server.upstream.pool.connections()
-        await harness.wait_until(connection.stream.writing)
+        client, connection = await send_statement_in_part(harness, monkeypatch, "frail")
         connection.abort("test")
         client.close()
         await harness.wait_until(lambda: not any(harness.table_sizes().values()))
-        resume.set()
 
-    run_with_harness(scenario, hang)
+    run_with_harness(scenario, hang_for_good)
+
+
+async def hang_for_good(connection: ComputeNodeConnection, command: list[bytes]) -> None:
+    """Script of a compute node that reads nothing after its first command."""
+    await asyncio.Event().wait()
 
 
 def test_greedy_holders_leave_a_part_of_the_budget_free() -> None:
--- a/tests/node/test_unread_commands.py
+++ b/tests/node/test_unread_commands.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import pytest
-from platform_world import SETTINGS, ComputeNode, ComputeNodeConnection, Harness
+from platform_world import SETTINGS, Client, ComputeNode, ComputeNodeConnection, Harness
 
 from saffronlane.platform.stream import Stream
 
@@ -64,6 +64,17 @@
     return is_met
 
 
+async def fill_hanging_node(harness: Harness, monkeypatch: pytest.MonkeyPatch) -> tuple[Client, list[int]]:
+    """Send long statements until some wait for a node that does not read; return the client and the calls."""
+    use_small_buffers(harness, monkeypatch)
+    client = await harness.client()
+    calls = [
+        client.call("ask", request_id(number), LONG_STATEMENT) for number in range(1, STATEMENT_COUNT + 1)
+    ]
+    await harness.wait_until(only_hanging_node_is_busy(harness))
+    return client, calls
+
+
 def settings_with_short_keys() -> dict[str, object]:
     services = [
         service | ({"keyTtl": KEY_TTL} if service["name"] == "load" else {})
@@ -79,11 +90,7 @@
     script = HangingNode()
 
     async def scenario(harness: Harness) -> None:
-        use_small_buffers(harness, monkeypatch)
-        client = await harness.client()
-        for number in range(1, STATEMENT_COUNT + 1):
-            client.call("ask", request_id(number), LONG_STATEMENT)
-        await harness.wait_until(only_hanging_node_is_busy(harness))
+        client, _ = await fill_hanging_node(harness, monkeypatch)
         load = client.call("load", request_id(99), token="t1")
         await asyncio.sleep(KEY_TTL + 0.3)
         script.resume.set()
@@ -103,12 +110,7 @@
     script = HangingNode()
 
     async def scenario(harness: Harness) -> None:
-        use_small_buffers(harness, monkeypatch)
-        client = await harness.client()
-        calls = [
-            client.call("ask", request_id(number), LONG_STATEMENT) for number in range(1, STATEMENT_COUNT + 1)
-        ]
-        await harness.wait_until(only_hanging_node_is_busy(harness))
+        client, calls = await fill_hanging_node(harness, monkeypatch)
         await asyncio.sleep(1.0)
         early = set(script.timeouts)
         script.resume.set()
