--- a/saffronlane/engines/effect_runner.py
+++ b/saffronlane/engines/effect_runner.py
@@ -102,6 +102,10 @@
         if request is None:  # the client disconnected in the same turn of the event loop
             self._report_not_sent(effect)
             return
+        # An earlier attempt that still waits was decided on before this one, and has no send deadline that
+        # takes it into account. Sent late, it could run after this one, and a second time.
+        for earlier in list(request.attempts_in_flight.values()):
+            self._transport.withdraw(earlier)
         attempt = self._transport.create_attempt(request, effect, self._loop.time())
         if effect.durability_timeout:
             attempt.write_ahead = self._write_ahead
