--- a/saffronlane/lab/fleet/audit.py
+++ b/saffronlane/lab/fleet/audit.py
@@ -150,7 +150,7 @@
     kill_times: dict[str, list[float]] = defaultdict(list)
 
     def was_killed_between(event: dict[str, Any], since: float, until: float) -> bool:
-        return any(since - KILL_SLACK_S <= at <= until + KILL_SLACK_S for at in kill_times[event["gateway"]])
+        return any(since <= at <= until + KILL_SLACK_S for at in kill_times[event["gateway"]])
 
     requests: dict[str, dict[str, Any]] = {}
     answer_kinds: dict[str, str] = {}
@@ -165,12 +165,15 @@
             answer_kinds[event["query"]] = kind
         elif kind == "unreachable":
             answer_kinds[event["query"]] = kind
-            if not was_killed_between(event, requests[event["query"]]["at"], event["at"]):
+            request = requests[event["query"]]
+            # The client may notice only after it has asked that the process at the other end is gone.
+            since = request.get("connected_at", request["at"] - KILL_SLACK_S)
+            if not was_killed_between(event, since, event["at"]):
                 text = f"query {event['query']} was dropped by {event['gateway']}, which was not killed"
                 findings.append(Finding(1, event["at"], text))
     for query, event in requests.items():
         # The audit of `lab.audit` reports the queries of dispatchers that were never killed.
         is_accounted_for = query in answer_kinds or event["gateway"] not in kill_times
-        if not is_accounted_for and not was_killed_between(event, event["at"], event["limit"]):
+        if not is_accounted_for and not was_killed_between(event, event["at"] - KILL_SLACK_S, event["limit"]):
             findings.append(Finding(1, event["limit"], f"query {query} has no final answer"))
     return findings
--- a/saffronlane/lab/fleet/clients.py
+++ b/saffronlane/lab/fleet/clients.py
@@ -18,8 +18,8 @@
 
 
 class _Connection:
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writer, self._reader = writer, reader
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, opened_at: float) -> None:
+        self.writer, self._reader, self.opened_at = writer, reader, opened_at
         self.in_flight: dict[int, asyncio.Future[tuple[Any, Any]]] = {}
         self._ids = itertools.count(1)
         self._scanner = Scanner(1_048_576, 10_000)
@@ -67,7 +67,8 @@
             if len(connection.in_flight) < MAX_IN_FLIGHT_PER_CONNECTION:
                 return connection
         async with asyncio.timeout(2.0):
-            new_connection = _Connection(*await asyncio.open_connection(*self._address))
+            reader, writer = await asyncio.open_connection(*self._address)
+        new_connection = _Connection(reader, writer, self._record.now())
         self._connections.append(new_connection)
         return new_connection
 
@@ -119,6 +120,7 @@
             limit=limit,
             work=request.work,
             wanted=request.at,
+            connected_at=connection.opened_at,
         )
         call_id, answer = connection.call(query_class.name, [fields, body])
         try:
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -131,6 +131,19 @@
     ] == [0]
 
 
+@pytest.mark.parametrize(("connected_at", "rules"), [(0.5, []), (1.05, [1])])
+def test_audit_excuses_a_dropped_request_by_a_kill_only_on_the_connection_that_the_kill_ended(
+    connected_at: float, rules: list[int]
+) -> None:
+    """Guards against a finding that only a busy machine causes: the client asks before it reads the end."""
+    shape = FleetShape(2, 2)
+    dropped = record_with_one_answer(shape)
+    dropped.events[0] |= {"at": 1.3, "limit": 5.3, "connected_at": connected_at}
+    dropped.events[1] |= {"at": 1.35, "kind": "unreachable"}
+    dropped.events.insert(0, {"at": 1.0, "kind": "killed", "gateway": "d0"})
+    assert [finding.rule for finding in audit(dropped, shape, [])] == rules
+
+
 def test_audit_reports_sends_after_cancellation_cold_overload_and_late_starts() -> None:
     """Changes a valid record step by step: first up to the tolerated limit, then past it."""
     shape = FleetShape(2, 2)
