--- a/saffronlane/lab/fleet/clients.py
+++ b/saffronlane/lab/fleet/clients.py
@@ -66,9 +66,11 @@
         for connection in self._connections:
             if len(connection.in_flight) < MAX_IN_FLIGHT_PER_CONNECTION:
                 return connection
+        # Taken before the wait: the system may have established the connection long before this task resumes.
+        opened_at = self._record.now()
         async with asyncio.timeout(2.0):
             reader, writer = await asyncio.open_connection(*self._address)
-        new_connection = _Connection(reader, writer, self._record.now())
+        new_connection = _Connection(reader, writer, opened_at)
         self._connections.append(new_connection)
         return new_connection
 
