--- /dev/null
+++ b/review/9/case.py
@@ -0,0 +1,88 @@
+"""Usual clients get their answers too late when bad clients take hundreds of requests back at once."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins_2"))
+
+import world  # noqa: E402
+
+BAD_CLIENTS = 200  # each takes back 500 requests
+BAD_SECONDS = 20.0
+USUAL_CLIENTS = 4
+REQUESTS = 40  # of each usual client
+BUDGET = 2.0  # seconds; also the deadline of the class
+LOST_AFTER = 0.5 + 0.02 + 0.05  # seconds after the budget; with `answerSlack`, and 50 ms on sockets
+
+
+async def ask_steadily(record: world.Record, client: world.Client, first: int) -> int:
+    """Send requests, one after another; return how many were lost."""
+    await client.connect()
+    lost = 0
+    for number in range(first, first + REQUESTS):
+        if client.is_closed:  # it was closed while no request was open
+            client = world.Client(record, client.name, client.port)
+            await client.connect()
+        sent_at = record("sends", client=client.name, rid=world.request_id(number))
+        message = await client.ask(
+            "lookup", world.request_id(number), b"SELECT 1 FROM sales_17.orders",
+            budget=f"{1000.0 * BUDGET:.0f}", acct="jordan-valley",
+        )  # fmt: skip
+        answer = await client.wait(message, BUDGET + 20.0)
+        late = None if answer is None else answer[0] - sent_at - BUDGET
+        if late is None or late > LOST_AFTER:
+            lost += 1
+            record("lost", rid=world.request_id(number), late=late and round(late, 3))
+        await asyncio.sleep(0.1)
+    return lost
+
+
+async def run(
+    node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
+) -> None:
+    """Run a statement for 20 ms."""
+    await asyncio.sleep(0.02)
+    connection.serve(rid)
+
+
+async def case(record: world.Record, folder: Path) -> int:
+    """Ask steadily while bad clients come, and count the requests that are lost."""
+    feed = world.Feed(record)
+    await feed.start()
+    nodes = [world.Node(f"node-{n}", record, run) for n in range(3)]
+    for node in nodes:
+        await node.start()
+    feed.add([world.member(node) for node in nodes], complete=True)
+    settings = world.settings()
+    settings["services"][0] |= {"aim": 0.5, "deadline": BUDGET}
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+    dispatcher = world.Dispatcher(record, folder, feed, settings, limits)
+    bad_clients = None
+    try:
+        await dispatcher.start()
+        if world.has_trouble():
+            bad_clients = await world.start_bad_clients(
+                record, dispatcher.port, "back", BAD_CLIENTS, BAD_SECONDS
+            )
+        usual = [world.Client(record, f"usual-{n}", dispatcher.port) for n in range(USUAL_CLIENTS)]
+        lost = sum(
+            await asyncio.gather(
+                *(ask_steadily(record, client, 1 + n * REQUESTS) for n, client in enumerate(usual))
+            )
+        )
+        assert dispatcher.process is not None
+        record("end", requests=USUAL_CLIENTS * REQUESTS, lost=lost, ended=dispatcher.process.returncode)
+        return world.BROKEN if lost else world.HELD
+    finally:
+        await world.stop_process(bad_clients)
+        await dispatcher.stop()
+        feed.close()
+        for node in nodes:
+            node.close()
+
+
+world.play(FOLDER, case)
