--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,114 +1,81 @@
-"""A keyed load is applied twice: its retry reaches a node that hung after the key has been forgotten."""
+"""A dispatcher never hears of a drain while discovery answers 2.2 s late, and sends to the draining node."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins_2"))
 
 import world  # noqa: E402
-from hanging_node import HangingNode  # noqa: E402
 
-KEY_TTL = 5.0  # seconds for which all compute nodes drop a repeat
-HANG = 7.0  # seconds
-STATEMENT_BYTES = 200_000
-LOADS = 5
-BUDGET = 20.0  # seconds
+ANSWER_DELAY = 2.2  # seconds from a subscription to the first line that discovery writes for it
+DRAIN_AFTER = 6.0  # seconds after the start of the traffic
+SECONDS = 30.0
+TOLD_WITHIN = 4.0  # seconds after which an event of a silent feed counts as told
+GRACE_PERIOD = 0.5 + 0.05  # seconds; `stopSendingWithin`, and 50 ms on sockets
 
 
-class Group:
-    """Compute nodes that know each other's idempotency keys."""
+class SlowFeed(world.Feed):
+    """A control feed that answers each subscription late, and is sound from then on."""
 
-    def __init__(self, record: world.Record) -> None:
-        self.record = record
-        self.nodes: list[HangingNode] = []
-        self.applied: dict[str, list[float]] = {}  # times by key
-        self.hangs_until = 0.0
-        self.arrived: dict[
-            str, int
-        ] = {}  # bytes that had arrived at the hanging node when a key was forgotten
+    async def before_answer(self) -> None:
+        """Wait before the first line of a subscription."""
+        if world.has_trouble():
+            await asyncio.sleep(ANSWER_DELAY)
 
-    async def run(
-        self, node: HangingNode, connection: Any, rid: bytes, fields: dict[str, str], body: bytes
-    ) -> None:
-        """Run a statement; the first run of a load loses its answer, and the other node hangs then."""
-        key = fields.get("i", "")
-        times = self.applied.setdefault(key, []) if key else []
-        if times and time.time() < times[-1] + KEY_TTL:
-            self.record("repeat dropped", node=node.name, key=key)
-            connection.serve(rid)
-            return
-        is_first = bool(key) and not times
-        if is_first and world.has_trouble():
-            (other,) = (other for other in self.nodes if other is not node)
-            other.hang()
-            self.hangs_until = time.time() + HANG + 0.5
-            asyncio.get_running_loop().call_later(HANG, other.resume)
-            # The run below takes 0.3 s, and the key is forgotten KEY_TTL after it.
-            asyncio.get_running_loop().call_later(0.3 + KEY_TTL, self.look_at, other, key)
-        await asyncio.sleep(0.3 if key else 0.02)
-        times.append(time.time())
-        self.record("ran", node=node.name, rid=rid.decode(), key=key or "-", run=len(times))
-        if is_first and world.has_trouble():
-            self.record("reset under a request that has run", node=node.name, rid=rid.decode())
-            connection.reset()
-        else:
-            connection.serve(rid)
 
-    def look_at(self, node: HangingNode, key: str) -> None:
-        """Record how much has arrived at a hanging node when a key is forgotten."""
-        self.arrived[key] = node.waiting_bytes()
-        self.record("key forgotten", key=key, node=node.name, bytes_arrived_unread=self.arrived[key])
+async def case(record: world.Record, folder: Path) -> int:
+    """Drain one of three nodes, and count what is sent to it when the drain counts as told."""
+    sends: list[tuple[float, str, str]] = []
 
+    async def run(
+        node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
+    ) -> None:
+        sends.append((time.time(), node.name, rid.decode()))
+        await asyncio.sleep(0.02)
+        connection.serve(rid)
 
-async def case(record: world.Record, folder: Path) -> int:
-    """Send loads one after another, and count how often each was applied."""
-    feed = world.Feed(record)
+    feed = SlowFeed(record)
     await feed.start()
-    group = Group(record)
-    group.nodes = [HangingNode(f"node-{n}", record, group.run) for n in range(2)]
-    for node in group.nodes:
+    nodes = [world.Node(f"node-{n}", record, run) for n in range(3)]
+    for node in nodes:
         await node.start()
-    feed.add([world.member(node) for node in group.nodes], complete=True)
-    settings = world.settings()
-    settings["services"][2] |= {"keyTtl": KEY_TTL}
+    feed.add([world.member(node) for node in nodes], complete=True)
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-    dispatcher = world.Dispatcher(record, folder, feed, settings, limits)
+    dispatcher = world.Dispatcher(record, folder, feed, world.settings(), limits)
     try:
         await dispatcher.start()
         client = world.Client(record, "usual", dispatcher.port)
         await client.connect()
-        for number in range(1, LOADS + 1):
-            if client.is_closed:
-                client = world.Client(record, "usual", dispatcher.port)
-                await client.connect()
+        started_at = time.time()
+        told_at = None
+        number = 0
+        while time.time() < started_at + SECONDS:
+            if told_at is None and time.time() > started_at + DRAIN_AFTER:
+                told_at = time.time() + TOLD_WITHIN
+                feed.add([world.member(nodes[0], "draining")])
+            number += 1
             rid = world.request_id(number)
-            body = b"INSERT INTO sales_17.orders VALUES ('%s')" % (b"x" * STATEMENT_BYTES)
-            message = await client.ask(
-                "log-load", rid, body, budget=f"{1000.0 * BUDGET:.0f}", acct="jordan-valley", token=rid * 2,
-                obj=world.request_id(0x7F3A),
-            )  # fmt: skip
-            await client.wait(message, BUDGET + 0.5)
-            await asyncio.sleep(0.5)
-            while time.time() < group.hangs_until:
-                await asyncio.sleep(0.1)
-        # A retry that had arrived whole when its key was forgotten would be the node's own fault.
-        twice = [
-            key
-            for key, times in group.applied.items()
-            if len(times) > 1 and group.arrived[key] < STATEMENT_BYTES
-        ]
-        record("end", loads=LOADS, applied_twice=len(twice))
-        return world.BROKEN if twice else world.HELD
+            body = b"SELECT 1 FROM sales_%d.orders" % (number % 9)
+            message = await client.ask("lookup", rid, body, budget="3500", acct="jordan-valley")
+            await client.wait(message, 4.1)
+            await asyncio.sleep(0.03)
+        assert told_at is not None
+        late = [send for send in sends if send[1] == "node-0" and send[0] > told_at + GRACE_PERIOD]
+        for at, node_name, rid in late:
+            record("late send", node=node_name, rid=rid, after_told=round(at - told_at, 3))
+        record("end", sends=len(sends), late=len(late))
+        return world.BROKEN if late else world.HELD
     finally:
-        await dispatcher.stop()
+        with contextlib.suppress(ProcessLookupError):
+            await dispatcher.stop()
         feed.close()
-        for node in group.nodes:
+        for node in nodes:
             node.close()
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Usual clients get their answers too late when bad clients take hundreds of requests back at once."""
+"""Loads of one key run in the wrong order while bad clients send hundreds of requests at once."""
 
 from __future__ import annotations
 
@@ -11,72 +11,91 @@
 
 import world  # noqa: E402
 
-BAD_CLIENTS = 200  # each takes back 500 requests
-BAD_SECONDS = 20.0
-USUAL_CLIENTS = 4
-REQUESTS = 40  # of each usual client
-BUDGET = 2.0  # seconds; also the deadline of the class
-LOST_AFTER = 0.5 + 0.02 + 0.05  # seconds after the budget; with `answerSlack`, and 50 ms on sockets
+BAD_CLIENTS = 80
+BAD_SECONDS = 30.0
+PAIRS = 12
+STATEMENT_BYTES = 250_000  # of the first load of each pair
+SPACING = 0.07  # seconds between two loads of a key; the protocol promises 60 ms
 
 
-async def ask_steadily(record: world.Record, client: world.Client, first: int) -> int:
-    """Send requests, one after another; return how many were lost."""
-    await client.connect()
-    lost = 0
-    for number in range(first, first + REQUESTS):
-        if client.is_closed:  # it was closed while no request was open
-            client = world.Client(record, client.name, client.port)
-            await client.connect()
-        sent_at = record("sends", client=client.name, rid=world.request_id(number))
-        message = await client.ask(
-            "lookup", world.request_id(number), b"SELECT 1 FROM sales_17.orders",
-            budget=f"{1000.0 * BUDGET:.0f}", acct="jordan-valley",
-        )  # fmt: skip
-        answer = await client.wait(message, BUDGET + 20.0)
-        late = None if answer is None else answer[0] - sent_at - BUDGET
-        if late is None or late > LOST_AFTER:
-            lost += 1
-            record("lost", rid=world.request_id(number), late=late and round(late, 3))
-        await asyncio.sleep(0.1)
-    return lost
+async def connected(record: world.Record, client: world.Client) -> world.Client:
+    """Return the client, or a new one in its place if its connection has ended."""
+    if not client.is_closed:
+        return client
+    fresh = world.Client(record, client.name, client.port)
+    await fresh.connect()
+    await ask_lookup(fresh, 900_000 + client.last_id)
+    return fresh
 
 
-async def run(
-    node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
-) -> None:
-    """Run a statement for 20 ms."""
-    await asyncio.sleep(0.02)
-    connection.serve(rid)
+async def ask_lookup(client: world.Client, number: int) -> None:
+    """Use a connection once, so that it is not new when a load is sent on it."""
+    message = await client.ask(
+        "lookup",
+        world.request_id(number),
+        b"SELECT 1 FROM sales_1.orders",
+        budget="3500",
+        acct="jordan-valley",
+    )
+    await client.wait(message, 4.1)
 
 
 async def case(record: world.Record, folder: Path) -> int:
-    """Ask steadily while bad clients come, and count the requests that are lost."""
+    """Send pairs of loads with one key, and compare the order in which they run."""
+    order: list[str] = []
+
+    async def run(
+        node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
+    ) -> None:
+        order.append(rid.decode())
+        await asyncio.sleep(0.02)
+        connection.serve(rid)
+
     feed = world.Feed(record)
     await feed.start()
     nodes = [world.Node(f"node-{n}", record, run) for n in range(3)]
     for node in nodes:
         await node.start()
     feed.add([world.member(node) for node in nodes], complete=True)
-    settings = world.settings()
-    settings["services"][0] |= {"aim": 0.5, "deadline": BUDGET}
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-    dispatcher = world.Dispatcher(record, folder, feed, settings, limits)
+    dispatcher = world.Dispatcher(record, folder, feed, world.settings(), limits)
     bad_clients = None
     try:
         await dispatcher.start()
+        clients = [world.Client(record, name, dispatcher.port) for name in ("first", "second")]
+        for number, client in enumerate(clients):
+            await client.connect()
+            await ask_lookup(client, 900_000 - number)
         if world.has_trouble():
             bad_clients = await world.start_bad_clients(
-                record, dispatcher.port, "back", BAD_CLIENTS, BAD_SECONDS
+                record, dispatcher.port, "hundreds", BAD_CLIENTS, BAD_SECONDS
             )
-        usual = [world.Client(record, f"usual-{n}", dispatcher.port) for n in range(USUAL_CLIENTS)]
-        lost = sum(
-            await asyncio.gather(
-                *(ask_steadily(record, client, 1 + n * REQUESTS) for n, client in enumerate(usual))
+            await asyncio.sleep(2.0)
+        wrong = 0
+        for pair in range(PAIRS):
+            clients = [await connected(record, client) for client in clients]
+            rids = [world.request_id(1000 + 2 * pair + n) for n in range(2)]
+            bodies = (
+                b"INSERT INTO sales_17.orders VALUES ('%s')" % (b"x" * STATEMENT_BYTES),
+                b"DELETE FROM sales_17.orders",
             )
-        )
-        assert dispatcher.process is not None
-        record("end", requests=USUAL_CLIENTS * REQUESTS, lost=lost, ended=dispatcher.process.returncode)
-        return world.BROKEN if lost else world.HELD
+            messages = []
+            for client, rid, body in zip(clients, rids, bodies, strict=True):
+                messages.append(
+                    await client.ask(
+                        "log-load", rid, body, budget="20000", acct="jordan-valley",
+                        token=rid * 2, obj=world.request_id(0x7F3A),
+                    )
+                )  # fmt: skip
+                await asyncio.sleep(SPACING)
+            for client, message in zip(clients, messages, strict=True):
+                await client.wait(message, 20.5)
+            ran = [rid for rid in order if rid in rids]
+            if ran == rids[::-1]:
+                wrong += 1
+                record("ran in the wrong order", first=rids[0], second=rids[1], ran=ran)
+        record("end", pairs=PAIRS, wrong=wrong)
+        return world.BROKEN if wrong else world.HELD
     finally:
         await world.stop_process(bad_clients)
         await dispatcher.stop()
