--- a/review/standins_2/hanging_node.py
+++ b/review/standins_2/hanging_node.py
@@ -1,4 +1,7 @@
-"""A compute node that can hang: it reads nothing meanwhile, and its connections stay open and silent."""
+"""A compute node that can hang: it reads nothing meanwhile, and its connections stay open and silent.
+
+Its sockets have a receive buffer of 64 KB, so that it does not depend on the machine how much arrives unread.
+"""
 
 from __future__ import annotations
 
@@ -13,10 +16,11 @@
 from world import HOST, Handler, Node, Record, encode_array
 
 NO_LINGER = struct.pack("ii", 1, 0)
+RECEIVE_BUFFER_BYTES = 65_536
 
 
 class RawConnection:
-    """The compute node's side of one connection, on a plain socket with the system's own buffers."""
+    """The compute node's side of one connection, on a plain socket."""
 
     def __init__(self, peer: socket.socket) -> None:
         self.peer = peer
@@ -50,6 +54,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         self._listener.setblocking(False)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._listener.bind((HOST, self.port))
         self._listener.listen(64)
         self.port = self._listener.getsockname()[1]
