--- a/review/standins_3/delay_relay.py
+++ b/review/standins_3/delay_relay.py
@@ -23,6 +23,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
+        """Start it."""
         self._server = await asyncio.start_server(self._serve, HOST, 0, backlog=1024)
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/review/standins_3/flood.py
+++ b/review/standins_3/flood.py
@@ -1,5 +1,8 @@
-"""Bad clients as a process of their own: each sends hundreds of requests at once, reads all that it is sent, and
-does the same again as soon as it is turned away."""
+"""Bad clients, as a process of their own.
+
+Each sends hundreds of requests at once, reads all that it is sent, and does the same again as soon as it is
+turned away.
+"""
 
 from __future__ import annotations
 
@@ -26,6 +29,7 @@
 
 
 async def bad_client(stop_at: float, totals: dict[str, int]) -> None:
+    """Send, read, and do the same again until the end."""
     loop = asyncio.get_running_loop()
     while loop.time() < stop_at:
         try:
@@ -45,6 +49,7 @@
 
 
 async def main() -> None:
+    """Play the case and return its verdict."""
     stop_at = asyncio.get_running_loop().time() + SECONDS
     totals = {"connections": 0}
     await asyncio.gather(*(bad_client(stop_at, totals) for _ in range(CLIENTS)))
--- a/review/standins_3/mp.py
+++ b/review/standins_3/mp.py
@@ -1,4 +1,4 @@
-"""A small MessagePack encoder and decoder for the stand-in clients (https://msgpack.org, the public specification)."""
+"""A small MessagePack encoder and decoder for stand-in clients (from the public specification)."""
 
 from __future__ import annotations
 
--- a/review/standins_3/platform_3.py
+++ b/review/standins_3/platform_3.py
@@ -1,4 +1,4 @@
-"""Stand-ins for one dispatcher's surroundings: feed, compute nodes and clients, on loopback; and the dispatcher.
+"""Stand-ins for one dispatcher's surroundings: feed, compute nodes, clients; and the dispatcher.
 
 Everything that is sent, answered and run goes into `record.txt`. Written from the platform's protocol page.
 """
@@ -11,8 +11,8 @@
 import secrets
 import shutil
 import signal
+import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -41,9 +41,11 @@
         self._started_at = time.monotonic()
 
     def now(self) -> float:
+        """Return the seconds since the start."""
         return time.monotonic() - self._started_at
 
     def add(self, what: str, **fields: Any) -> None:
+        """Write one line."""
         text = " ".join(f"{name}={value}" for name, value in fields.items())
         self._file.write(f"{self.now():9.4f} {what} {text}\n".rstrip() + "\n")
         self._file.flush()
@@ -53,6 +55,7 @@
 
 
 def encode_array(*words: bytes) -> bytes:
+    """Encode an array of bulk strings."""
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
 
 
@@ -64,10 +67,12 @@
         self.running: dict[bytes, asyncio.Task[None]] = {}
 
     def send(self, *words: bytes) -> None:
+        """Send both requests and record their answers."""
         if not self.writer.is_closing():
             self.writer.write(encode_array(*words))
 
     async def read_command(self) -> list[bytes]:
+        """Read one command."""
         count = int((await self.reader.readuntil(b"\r\n"))[1:-2])
         words = []
         for _ in range(count):
@@ -95,6 +100,7 @@
         self.on_fetch: Callable[[NodeConnection, list[bytes]], Awaitable[bool]] | None = None
 
     async def start(self) -> None:
+        """Start it."""
         self.server = await asyncio.start_server(self._serve, HOST, self.port, limit=1 << 20, backlog=1024)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -149,6 +155,7 @@
             connection.writer.transport.abort()
 
     def entry(self, phase: str = "up", **fields: Any) -> dict[str, Any]:
+        """Return its entry in the list."""
         return {
             "id": self.name,
             "host_port": f"{HOST}:{self.port}",
@@ -177,14 +184,17 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
+        """Start it."""
         self.server = await asyncio.start_server(self._serve, HOST, 0, backlog=1024)
         self.port = self.server.sockets[0].getsockname()[1]
         self._task = asyncio.create_task(self._beat())
 
     def known(self) -> dict[str, Any]:
+        """Return the events so far, as a configuration holds them."""
         return {"n": len(self.events), "events": self.events[:]}
 
     def publish(self, entries: list[dict[str, Any]]) -> int:
+        """Add an event and tell it; return its number."""
         number = len(self.events) + 1
         listed = {"revision": number, "complete": number == 1, "members": entries}
         self.events.append({"n": number, "members": listed})
@@ -237,15 +247,20 @@
 
     @classmethod
     async def connect(cls, port: int) -> Client:
+        """Connect to the dispatcher."""
         return cls(*await asyncio.open_connection(HOST, port))
 
-    def call(self, method: str, params: list[Any], encode: Callable[[Any], bytes] = mp.pack) -> asyncio.Future[Any]:
+    def call(
+        self, method: str, params: list[Any], encode: Callable[[Any], bytes] = mp.pack
+    ) -> asyncio.Future[Any]:
+        """Send a call; the future gets the error and the result."""
         self.last_id += 1
         self.answers[self.last_id] = asyncio.get_running_loop().create_future()
         self.writer.write(encode([0, self.last_id, method, params]))
         return self.answers[self.last_id]
 
     def forget(self, message_id: int) -> None:
+        """Take a request back."""
         self.writer.write(mp.pack([2, "forget", [message_id]]))
 
     async def _read(self) -> None:
@@ -277,18 +292,22 @@
 
     @property
     def open_count(self) -> int:
+        """The number of calls without an answer."""
         return sum(not answer.done() for answer in self.answers.values())
 
     def close(self) -> None:
+        """Close the connection."""
         self._task.cancel()
         self.writer.close()
 
 
 def new_id() -> str:
+    """Return a new request id."""
     return secrets.token_hex(8)
 
 
 def fields(budget_ms: int, **more: str) -> dict[str, str]:
+    """Return the fields of a request."""
     return {"rid": new_id(), "budget": str(budget_ms), "acct": "acme", "est": "20.0", "memory": "4"} | more
 
 
@@ -334,8 +353,22 @@
         "maxStreams": 32,
     },
     "services": [
-        {"name": "lookup", "aim": 0.75, "aimStretch": 1.5, "deadline": 4.0, "effect": "retryable", "value": 1.0},
-        {"name": "report", "aim": 2.0, "aimStretch": 2.5, "deadline": 20.0, "effect": "retryable", "value": 10.0},
+        {
+            "name": "lookup",
+            "aim": 0.75,
+            "aimStretch": 1.5,
+            "deadline": 4.0,
+            "effect": "retryable",
+            "value": 1.0,
+        },
+        {
+            "name": "report",
+            "aim": 2.0,
+            "aimStretch": 2.5,
+            "deadline": 20.0,
+            "effect": "retryable",
+            "value": 10.0,
+        },
         {
             "name": "log-load",
             "aim": 4.0,
@@ -371,11 +404,13 @@
         self.process: subprocess.Popen[bytes] | None = None
 
     def write_config(self) -> None:
+        """Write the configuration file, in one step."""
         temporary = self.config_path.with_suffix(".new")
         temporary.write_text(json.dumps(self.config))
         temporary.replace(self.config_path)
 
     async def start(self) -> None:
+        """Start it."""
         self.write_config()
         line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         scratch = self.folder / "tmp"
@@ -387,8 +422,13 @@
             "TMPDIR": str(scratch),
         }
         with (self.folder / "dispatcher.log").open("wb") as log:
-            self.process = subprocess.Popen(
-                ["/bin/sh", "-c", line], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            self.process = subprocess.Popen(  # noqa: ASYNC220 - it takes no time worth counting
+                ["/bin/sh", "-c", line],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         await self._wait_until_ready()
 
@@ -410,24 +450,27 @@
 
     @property
     def is_running(self) -> bool:
+        """Whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
     def log_tail(self) -> str:
+        """Return the end of the dispatcher's log."""
         return (self.folder / "dispatcher.log").read_text(errors="replace")[-600:]
 
     def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
         if self.process is not None and self.is_running:
             self.process.send_signal(number)
 
     def end(self) -> None:
+        """Kill the process if it still runs."""
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
 
 
 def free_port() -> int:
-    import socket
-
+    """Return a port that is free."""
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return int(probe.getsockname()[1])
@@ -467,9 +510,10 @@
         record.add("could not run", why=repr(error))
         raise
     finally:
-        log = work / "dispatcher.log"
-        if log.exists():
-            shutil.copy(log, case_folder / "dispatcher.log")
+        if verdict == COULD_NOT_RUN and (work / "dispatcher.log").exists():
+            record.add(
+                "end of the dispatcher's log", text=repr((work / "dispatcher.log").read_text()[-2000:])
+            )
         shutil.rmtree(work, ignore_errors=True)
         record.add("verdict", exit=verdict, trouble=TROUBLE)
     print({HELD: "held", BROKEN: "BROKEN", COULD_NOT_RUN: "could not run"}[verdict], flush=True)
