--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,8 @@
-"""A dispatcher never hears of a drain while discovery answers 2.2 s late, and sends to the draining node."""
+"""Loads of one key run in the wrong order while bad clients send hundreds of requests at once."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import sys
 import time
 from pathlib import Path
@@ -13,34 +12,48 @@
 
 import world  # noqa: E402
 
-ANSWER_DELAY = 2.2  # seconds from a subscription to the first line that discovery writes for it
-DRAIN_AFTER = 6.0  # seconds after the start of the traffic
-SECONDS = 30.0
-TOLD_WITHIN = 4.0  # seconds after which an event of a silent feed counts as told
-GRACE_PERIOD = 0.5 + 0.05  # seconds; `stopSendingWithin`, and 50 ms on sockets
+BAD_CLIENTS = 80
+BAD_SECONDS = 60.0
+PAIRS = 12
+MAX_SECONDS = 50.0
+STATEMENT_BYTES = 250_000  # of the first load of each pair
+SPACING = 0.07  # seconds between two loads of a key; the protocol promises 60 ms
 
 
-class SlowFeed(world.Feed):
-    """A control feed that answers each subscription late, and is sound from then on."""
+async def connected(record: world.Record, client: world.Client) -> world.Client:
+    """Return the client, or a new one in its place if its connection has ended."""
+    if not client.is_closed:
+        return client
+    fresh = world.Client(record, client.name, client.port)
+    await fresh.connect()
+    await ask_lookup(fresh, 900_000 + client.last_id)
+    return fresh
 
-    async def before_answer(self) -> None:
-        """Wait before the first line of a subscription."""
-        if world.has_trouble():
-            await asyncio.sleep(ANSWER_DELAY)
+
+async def ask_lookup(client: world.Client, number: int) -> None:
+    """Use a connection once, so that it is not new when a load is sent on it."""
+    message = await client.ask(
+        "lookup",
+        world.request_id(number),
+        b"SELECT 1 FROM sales_1.orders",
+        budget="3500",
+        acct="jordan-valley",
+    )
+    await client.wait(message, 4.1)
 
 
 async def case(record: world.Record, folder: Path) -> int:
-    """Drain one of three nodes, and count what is sent to it when the drain counts as told."""
-    sends: list[tuple[float, str, str]] = []
+    """Send pairs of loads with one key, and compare the order in which they run."""
+    order: list[str] = []
 
     async def run(
         node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
     ) -> None:
-        sends.append((time.time(), node.name, rid.decode()))
+        order.append(rid.decode())
         await asyncio.sleep(0.02)
         connection.serve(rid)
 
-    feed = SlowFeed(record)
+    feed = world.Feed(record)
     await feed.start()
     nodes = [world.Node(f"node-{n}", record, run) for n in range(3)]
     for node in nodes:
@@ -48,32 +61,48 @@
     feed.add([world.member(node) for node in nodes], complete=True)
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
     dispatcher = world.Dispatcher(record, folder, feed, world.settings(), limits)
+    bad_clients = None
     try:
         await dispatcher.start()
-        client = world.Client(record, "usual", dispatcher.port)
-        await client.connect()
-        started_at = time.time()
-        told_at = None
-        number = 0
-        while time.time() < started_at + SECONDS:
-            if told_at is None and time.time() > started_at + DRAIN_AFTER:
-                told_at = time.time() + TOLD_WITHIN
-                feed.add([world.member(nodes[0], "draining")])
-            number += 1
-            rid = world.request_id(number)
-            body = b"SELECT 1 FROM sales_%d.orders" % (number % 9)
-            message = await client.ask("lookup", rid, body, budget="3500", acct="jordan-valley")
-            await client.wait(message, 4.1)
-            await asyncio.sleep(0.03)
-        assert told_at is not None
-        late = [send for send in sends if send[1] == "node-0" and send[0] > told_at + GRACE_PERIOD]
-        for at, node_name, rid in late:
-            record("late send", node=node_name, rid=rid, after_told=round(at - told_at, 3))
-        record("end", sends=len(sends), late=len(late))
-        return world.BROKEN if late else world.HELD
+        clients = [world.Client(record, name, dispatcher.port) for name in ("first", "second")]
+        for number, client in enumerate(clients):
+            await client.connect()
+            await ask_lookup(client, 900_000 - number)
+        if world.has_trouble():
+            bad_clients = await world.start_bad_clients(
+                record, dispatcher.port, "hundreds", BAD_CLIENTS, BAD_SECONDS
+            )
+            await asyncio.sleep(2.0)
+        wrong = pairs = 0
+        until = time.monotonic() + MAX_SECONDS
+        while pairs < PAIRS and time.monotonic() < until:
+            pairs += 1
+            clients = [await connected(record, client) for client in clients]
+            rids = [world.request_id(1000 + 2 * pairs + n) for n in range(2)]
+            bodies = (
+                b"INSERT INTO sales_17.orders VALUES ('%s')" % (b"x" * STATEMENT_BYTES),
+                b"DELETE FROM sales_17.orders",
+            )
+            messages = []
+            for client, rid, body in zip(clients, rids, bodies, strict=True):
+                messages.append(
+                    await client.ask(
+                        "log-load", rid, body, budget="20000", acct="jordan-valley",
+                        token=rid * 2, obj=world.request_id(0x7F3A),
+                    )
+                )  # fmt: skip
+                await asyncio.sleep(SPACING)
+            for client, message in zip(clients, messages, strict=True):
+                await client.wait(message, 20.5)
+            ran = [rid for rid in order if rid in rids]
+            if ran == rids[::-1]:
+                wrong += 1
+                record("ran in the wrong order", first=rids[0], second=rids[1], ran=ran)
+        record("end", pairs=pairs, wrong=wrong)
+        return world.BROKEN if wrong else world.HELD
     finally:
-        with contextlib.suppress(ProcessLookupError):
-            await dispatcher.stop()
+        await world.stop_process(bad_clients)
+        await dispatcher.stop()
         feed.close()
         for node in nodes:
             node.close()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A dispatcher hangs when 300 sound clients pipeline 32 requests each at once; answers come seconds late."""
+"""A dispatcher goes over its memory limit when bad clients take hundreds of requests back at once."""
 
 from __future__ import annotations
 
@@ -12,100 +12,89 @@
 
 import world  # noqa: E402
 
-BURST_CLIENTS = 300  # each sends 32 requests at once, as many as may be open on a connection
-BURST_SECONDS = 5.0  # so that there is one burst
-USUAL_CLIENTS = 4
-SECONDS = 15.0  # in which usual clients send
-FIRST_NUMBERS = 10_000  # request numbers of each usual client
-BUDGET = 1.0  # seconds; also the deadline of the class
-MAX_LAG = 0.4  # seconds by which the stand-ins may be late; above it the case has no verdict
-LOST_AFTER = 0.5 + 0.02 + 0.05  # seconds after the budget; with `answerSlack`, and 50 ms on sockets
-
-
-async def ask_steadily(record: world.Record, client: world.Client, first: int) -> list[float]:
-    """Send requests, one after another; return by how many seconds each answer came after its budget."""
-    await client.connect()
-    lates = []
-    number = first
-    until = time.monotonic() + SECONDS
-    while time.monotonic() < until:
-        if client.is_closed:  # it was closed while no request was open
-            client = world.Client(record, client.name, client.port)
-            await client.connect()
-        number += 1
-        rid = world.request_id(number)
-        message = await client.ask(
-            "lookup", rid, b"SELECT 1 FROM sales_17.orders", budget=f"{1000.0 * BUDGET:.0f}",
-            acct="jordan-valley",
-        )  # fmt: skip
-        sent_at = time.time()  # the last byte has been written
-        answer = await client.wait(message, BUDGET + 20.0)
-        late = (time.time() if answer is None else answer[0]) - sent_at - BUDGET
-        lates.append(late)
-        if late > 0.0:
-            record("late", rid=rid, seconds=round(late, 3), answered=answer is not None)
-        await asyncio.sleep(0.1)
-    return lates
-
-
-class LoopLag:
-    """Measures how late the event loop of the stand-ins themselves is."""
-
-    def __init__(self) -> None:
-        self.highest = 0.0
-        self.task = asyncio.ensure_future(self._measure())
-
-    async def _measure(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            due_at = loop.time() + 0.01
-            await asyncio.sleep(0.01)
-            self.highest = max(self.highest, loop.time() - due_at)
+MEMORY_MB = 96.0  # counted as 1,048,576 bytes each, the milder reading
+SOCKETS = 1024
+BAD_CLIENTS = 600  # in all; each takes back 500 requests
+BAD_CLIENTS_PER_SECOND = 15.0
+SECONDS = 45.0
 
 
 async def run(
     node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
 ) -> None:
-    """Run a statement for 20 ms, and report as much work, so that nothing looks congested."""
+    """Run a statement for 20 ms."""
     await asyncio.sleep(0.02)
-    connection.answer(rid, b"DONE", b"sheets=1,toil=20.0,room=7.0", world.ROWS)
+    connection.serve(rid)
+
+
+def anonymous_mb(process_id: int) -> float:
+    """Return the memory that a process holds, without files that are mapped into it."""
+    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def ask_steadily(record: world.Record, dispatcher: world.Dispatcher, until: float) -> int:
+    """Ask like a usual client; return how many requests got no final answer."""
+    client = world.Client(record, "usual", dispatcher.port)
+    await client.connect()
+    number = unanswered = 0
+    while time.monotonic() < until and not client.is_closed:
+        number += 1
+        rid = world.request_id(number)
+        message = await client.ask(
+            "lookup", rid, b"SELECT 1 FROM sales_17.orders", budget="3500", acct="jordan-valley"
+        )
+        answer = await client.wait(message, 4.1)
+        unanswered += answer is None
+        await asyncio.sleep(0.2)
+    return unanswered
 
 
 async def case(record: world.Record, folder: Path) -> int:
-    """Ask steadily beside the burst, and count the requests that are lost."""
+    """Watch the memory of a dispatcher, and kill it when it is over its limit, as the platform does."""
     feed = world.Feed(record)
     await feed.start()
     nodes = [world.Node(f"node-{n}", record, run) for n in range(3)]
     for node in nodes:
         await node.start()
     feed.add([world.member(node) for node in nodes], complete=True)
-    settings = world.settings()
-    settings["services"][0] |= {"aim": 0.5, "deadline": BUDGET}
-    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-    dispatcher = world.Dispatcher(record, folder, feed, settings, limits)
-    burst = None
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    dispatcher = world.Dispatcher(record, folder, feed, world.settings(), limits)
+    bad_clients = None
     try:
         await dispatcher.start()
-        lag = LoopLag()
+        assert dispatcher.process is not None
+        until = time.monotonic() + SECONDS
+        usual = asyncio.ensure_future(ask_steadily(record, dispatcher, until))
         if world.has_trouble():
-            burst = await world.start_bad_clients(
-                record, dispatcher.port, "pipeline", BURST_CLIENTS, BURST_SECONDS, "burst"
+            bad_clients = await world.start_bad_clients(
+                record, dispatcher.port, "loads-back", BAD_CLIENTS, SECONDS, BAD_CLIENTS_PER_SECOND
             )
-        usual = [world.Client(record, f"usual-{n}", dispatcher.port) for n in range(USUAL_CLIENTS)]
-        lates = await asyncio.gather(
-            *(ask_steadily(record, client, n * FIRST_NUMBERS) for n, client in enumerate(usual))
-        )
-        lag.task.cancel()
-        record("highest lag of the stand-ins", seconds=round(lag.highest, 3))
-        if lag.highest > MAX_LAG:
-            return world.UNAVAILABLE
-        all_lates = [late for client_lates in lates for late in client_lates]
-        lost = sum(late > LOST_AFTER + lag.highest for late in all_lates)
-        assert dispatcher.process is not None
-        record("end", requests=len(all_lates), lost=lost, ended=dispatcher.process.returncode)
-        return world.BROKEN if lost else world.HELD
+        code = world.HELD
+        highest = 0.0
+        next_line = 0.0
+        while time.monotonic() < until and code == world.HELD:
+            if dispatcher.process.returncode is not None:
+                record("the dispatcher has ended", code=dispatcher.process.returncode)
+                code = world.BROKEN
+                break
+            held = anonymous_mb(dispatcher.process.pid)
+            highest = max(highest, held)
+            if time.monotonic() >= next_line:
+                next_line = time.monotonic() + 1.0
+                record("memory", anonymous_mb=round(held, 1), limit_mb=MEMORY_MB)
+            if held > MEMORY_MB:
+                record("over the limit: killed by the platform", anonymous_mb=round(held, 1))
+                dispatcher.process.kill()
+                code = world.BROKEN
+            await asyncio.sleep(0.05)
+        unanswered = await usual
+        record("end", highest_mb=round(highest, 1), unanswered_usual_requests=unanswered)
+        return code
     finally:
-        await world.stop_process(burst)
+        await world.stop_process(bad_clients)
         await dispatcher.stop()
         feed.close()
         for node in nodes:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Loads of one key run in the wrong order while bad clients send hundreds of requests at once."""
+"""A dispatcher hangs when 300 sound clients pipeline 32 requests each at once; answers come seconds late."""
 
 from __future__ import annotations
 
@@ -12,96 +12,100 @@
 
 import world  # noqa: E402
 
-BAD_CLIENTS = 80
-BAD_SECONDS = 60.0
-PAIRS = 12
-MAX_SECONDS = 50.0
-STATEMENT_BYTES = 250_000  # of the first load of each pair
-SPACING = 0.07  # seconds between two loads of a key; the protocol promises 60 ms
+BURST_CLIENTS = 300  # each sends 32 requests at once, as many as may be open on a connection
+BURST_SECONDS = 5.0  # so that there is one burst
+USUAL_CLIENTS = 4
+SECONDS = 15.0  # in which usual clients send
+FIRST_NUMBERS = 10_000  # request numbers of each usual client
+BUDGET = 1.0  # seconds; also the deadline of the class
+MAX_LAG = 0.4  # seconds by which the stand-ins may be late; above it the case has no verdict
+LOST_AFTER = 0.5 + 0.02 + 0.05  # seconds after the budget; with `answerSlack`, and 50 ms on sockets
 
 
-async def connected(record: world.Record, client: world.Client) -> world.Client:
-    """Return the client, or a new one in its place if its connection has ended."""
-    if not client.is_closed:
-        return client
-    fresh = world.Client(record, client.name, client.port)
-    await fresh.connect()
-    await ask_lookup(fresh, 900_000 + client.last_id)
-    return fresh
+async def ask_steadily(record: world.Record, client: world.Client, first: int) -> list[float]:
+    """Send requests, one after another; return by how many seconds each answer came after its budget."""
+    await client.connect()
+    lates = []
+    number = first
+    until = time.monotonic() + SECONDS
+    while time.monotonic() < until:
+        if client.is_closed:  # it was closed while no request was open
+            client = world.Client(record, client.name, client.port)
+            await client.connect()
+        number += 1
+        rid = world.request_id(number)
+        message = await client.ask(
+            "lookup", rid, b"SELECT 1 FROM sales_17.orders", budget=f"{1000.0 * BUDGET:.0f}",
+            acct="jordan-valley",
+        )  # fmt: skip
+        sent_at = time.time()  # the last byte has been written
+        answer = await client.wait(message, BUDGET + 20.0)
+        late = (time.time() if answer is None else answer[0]) - sent_at - BUDGET
+        lates.append(late)
+        if late > 0.0:
+            record("late", rid=rid, seconds=round(late, 3), answered=answer is not None)
+        await asyncio.sleep(0.1)
+    return lates
 
 
-async def ask_lookup(client: world.Client, number: int) -> None:
-    """Use a connection once, so that it is not new when a load is sent on it."""
-    message = await client.ask(
-        "lookup",
-        world.request_id(number),
-        b"SELECT 1 FROM sales_1.orders",
-        budget="3500",
-        acct="jordan-valley",
-    )
-    await client.wait(message, 4.1)
+class LoopLag:
+    """Measures how late the event loop of the stand-ins themselves is."""
 
+    def __init__(self) -> None:
+        self.highest = 0.0
+        self.task = asyncio.ensure_future(self._measure())
 
-async def case(record: world.Record, folder: Path) -> int:
-    """Send pairs of loads with one key, and compare the order in which they run."""
-    order: list[str] = []
+    async def _measure(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + 0.01
+            await asyncio.sleep(0.01)
+            self.highest = max(self.highest, loop.time() - due_at)
+
+
+async def run(
+    node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
+) -> None:
+    """Run a statement for 20 ms, and report as much work, so that nothing looks congested."""
+    await asyncio.sleep(0.02)
+    connection.answer(rid, b"DONE", b"sheets=1,toil=20.0,room=7.0", world.ROWS)
 
-    async def run(
-        node: world.Node, connection: world.NodeConnection, rid: bytes, fields: dict[str, str], body: bytes
-    ) -> None:
-        order.append(rid.decode())
-        await asyncio.sleep(0.02)
-        connection.serve(rid)
 
+async def case(record: world.Record, folder: Path) -> int:
+    """Ask steadily beside the burst, and count the requests that are lost."""
     feed = world.Feed(record)
     await feed.start()
     nodes = [world.Node(f"node-{n}", record, run) for n in range(3)]
     for node in nodes:
         await node.start()
     feed.add([world.member(node) for node in nodes], complete=True)
+    settings = world.settings()
+    settings["services"][0] |= {"aim": 0.5, "deadline": BUDGET}
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-    dispatcher = world.Dispatcher(record, folder, feed, world.settings(), limits)
-    bad_clients = None
+    dispatcher = world.Dispatcher(record, folder, feed, settings, limits)
+    burst = None
     try:
         await dispatcher.start()
-        clients = [world.Client(record, name, dispatcher.port) for name in ("first", "second")]
-        for number, client in enumerate(clients):
-            await client.connect()
-            await ask_lookup(client, 900_000 - number)
+        lag = LoopLag()
         if world.has_trouble():
-            bad_clients = await world.start_bad_clients(
-                record, dispatcher.port, "hundreds", BAD_CLIENTS, BAD_SECONDS
-            )
-            await asyncio.sleep(2.0)
-        wrong = pairs = 0
-        until = time.monotonic() + MAX_SECONDS
-        while pairs < PAIRS and time.monotonic() < until:
-            pairs += 1
-            clients = [await connected(record, client) for client in clients]
-            rids = [world.request_id(1000 + 2 * pairs + n) for n in range(2)]
-            bodies = (
-                b"INSERT INTO sales_17.orders VALUES ('%s')" % (b"x" * STATEMENT_BYTES),
-                b"DELETE FROM sales_17.orders",
+            burst = await world.start_bad_clients(
+                record, dispatcher.port, "pipeline", BURST_CLIENTS, BURST_SECONDS, "burst"
             )
-            messages = []
-            for client, rid, body in zip(clients, rids, bodies, strict=True):
-                messages.append(
-                    await client.ask(
-                        "log-load", rid, body, budget="20000", acct="jordan-valley",
-                        token=rid * 2, obj=world.request_id(0x7F3A),
-                    )
-                )  # fmt: skip
-                await asyncio.sleep(SPACING)
-            for client, message in zip(clients, messages, strict=True):
-                await client.wait(message, 20.5)
-            ran = [rid for rid in order if rid in rids]
-            if ran == rids[::-1]:
-                wrong += 1
-                record("ran in the wrong order", first=rids[0], second=rids[1], ran=ran)
-        record("end", pairs=pairs, wrong=wrong)
-        return world.BROKEN if wrong else world.HELD
+        usual = [world.Client(record, f"usual-{n}", dispatcher.port) for n in range(USUAL_CLIENTS)]
+        lates = await asyncio.gather(
+            *(ask_steadily(record, client, n * FIRST_NUMBERS) for n, client in enumerate(usual))
+        )
+        lag.task.cancel()
+        record("highest lag of the stand-ins", seconds=round(lag.highest, 3))
+        if lag.highest > MAX_LAG:
+            return world.UNAVAILABLE
+        all_lates = [late for client_lates in lates for late in client_lates]
+        lost = sum(late > LOST_AFTER + lag.highest for late in all_lates)
+        assert dispatcher.process is not None
+        record("end", requests=len(all_lates), lost=lost, ended=dispatcher.process.returncode)
+        return world.BROKEN if lost else world.HELD
     finally:
-        await world.stop_process(bad_clients)
+        await world.stop_process(burst)
         await dispatcher.stop()
         feed.close()
         for node in nodes:
