Loads of one key run in the order of their last bytes, not in the order of reading

Cause: a request counted as received when it was read whole. Connections are read in turns, a chunk each, so that a long load takes a dozen turns and a short one on another connection takes one. Change: `ArrivalOrder` holds a request with an ordering key until the input that had arrived before it on any connection has been read; the requests of its key in that input precede it. `InputScheduler` handles messages for 5 ms in a turn, one for each connection, and a connection is read again once its messages are handled; a cancellation applies at once to calls that wait. Why it works: what had arrived before the second load is in the system's buffers when the second one is read, so reading these to their end finds the first one.

--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -73,11 +73,36 @@
             make_input: A function that builds the dispatcher's input from the number of the request.
             idempotency_key: The key that is sent to engines, or empty if there is none.
         """
+        number = self.add_request(statement, sink, idempotency_key)
+        self.feed(make_input(number))
+        return number
+
+    def add_request(self, statement: Any, sink: Any, idempotency_key: str = "") -> int:
+        """Accept a request whose `Submit` is fed later, and return its number.
+
+        Args:
+            statement: The statement that the transport runs.
+            sink: The object that receives the answer from the transport.
+            idempotency_key: The key that is sent to engines, or empty if there is none.
+        """
         number = self.dispatcher.new_request()
         self._requests.add(number, statement, sink, idempotency_key)
-        self.feed(make_input(number))
         return number
 
+    def reject_unsubmitted(self, number: int, retry_after: float, reason: str) -> None:
+        """Reject a request whose `Submit` was not fed.
+
+        Args:
+            number: The number of the request; without effect if its client has disconnected.
+            retry_after: Seconds after which the client may retry, or 0 to send no delay.
+            reason: Why the request was rejected.
+        """
+        request = self._requests.get_unanswered(number)
+        if request is not None:
+            self._requests.mark_answered(request)
+            self.transport.reject(request, retry_after, reason)
+            self._requests.remove_if_ended(request)
+
     def unanswered_request(self, number: int) -> Request | None:
         """Return a request, or None if it has been answered or is unknown."""
         return self._requests.get_unanswered(number)
--- a/saffronlane/msgpackrpc/__init__.py
+++ b/saffronlane/msgpackrpc/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from .errors import InvalidMessageError, ScanError
-from .messages import Call, Notification, Reply, decode_message, encode_reply, read_call_id
+from .messages import Call, Notification, Reply, decode_message, encode_reply, is_notification, read_call_id
 from .scanner import DiscardedMessage, Scanner
 
 __all__ = [
@@ -17,5 +17,6 @@
     "Scanner",
     "decode_message",
     "encode_reply",
+    "is_notification",
     "read_call_id",
 ]
--- a/saffronlane/msgpackrpc/messages.py
+++ b/saffronlane/msgpackrpc/messages.py
@@ -87,13 +87,18 @@
     result: bytes | bool = b""
 
 
+def is_notification(message: bytes) -> bool:
+    """Return whether a complete message has the form of a notification."""
+    return message[0] == ARRAY_OF_THREE
+
+
 def decode_message(message: bytes) -> Call | Notification:
     """Decode one complete message.
 
     Raises:
         InvalidMessageError: The message is not a valid call or notification.
     """
-    if message[0] == ARRAY_OF_THREE:
+    if is_notification(message):
         return _decode_notification(message)
     return _decode_call(message)
 
--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -15,6 +15,7 @@
 from ..memory_budget import MemoryHolder
 from ..stream import Stream
 from .fault_replies import DelayedFaultReplies
+from .message_backlog import Message, MessageBacklog
 from .message_reader import MAX_MESSAGE_BYTES, MessageReader
 from .reply_channel import FAULT_ERROR, ReplyChannel, rejection
 
@@ -52,8 +53,8 @@
 class ClientConnection(ManagedConnection):
     """Reads a client's requests and writes its replies.
 
-    The connection is read at all times. Disconnections and cancellations are therefore detected at once, and
-    no request is forwarded for a client that has disconnected.
+    The connection is read whenever its earlier messages are handled, for which `InputScheduler` allots the
+    time. Cancellations are applied as soon as they are received, also to calls that have not been handled.
 
     Args:
         server: The server that owns the connection.
@@ -74,6 +75,10 @@
         self.request_count = 0
         self.invalid_message_count = 0
         self.reader = MessageReader(self.memory, now)
+        self.received_bytes = 0
+        self._backlog = MessageBacklog(self.memory)
+        self._backlog_handled: asyncio.Future[None] | None = None
+        self._input_error: rpc.ScanError | None = None  # in the bytes after the messages of the backlog
         self._can_parse_input = True
         self._output: list[bytes] = []
         self._fault_replies = DelayedFaultReplies(self.write, self._update_idle)
@@ -81,25 +86,83 @@
     # --- reading ---
 
     def receive(self, data: bytes) -> None:
-        """Parse received bytes and process the messages that they complete."""
+        """Parse received bytes and have the messages that they complete handled."""
+        self.received_bytes += len(data)
         if not self._can_parse_input:
             return
-        messages, error = self.reader.feed(data, self.loop.time())
+        messages, self._input_error = self.reader.feed(data, self.loop.time())
         for message in messages:
-            if not self.lifecycle.processes_input:
-                return
-            try:
+            if not self._apply_cancellation(message):
+                self._backlog.append(message)
+        if self._backlog:
+            self.server.input_scheduler.handle(self)
+        else:
+            self._finish_input()
+
+    def _apply_cancellation(self, message: Message) -> bool:
+        """Apply a cancellation that follows messages in the backlog; return whether the message is one."""
+        if not self._backlog or isinstance(message, rpc.DiscardedMessage) or not rpc.is_notification(message):
+            return False
+        try:
+            notification = rpc.decode_message(message)
+        except rpc.InvalidMessageError:
+            return False
+        if not isinstance(notification, rpc.Notification) or notification.method != CANCEL_METHOD:
+            return False
+        for message_id in notification.ids:
+            if not self._backlog.cancel_call(message_id):
+                self._on_cancel(message_id)
+        return True
+
+    def handle_next_message(self) -> bool:
+        """Handle the first message of the backlog; return whether more of them wait."""
+        if not self.lifecycle.processes_input:
+            self._backlog.clear()
+        if self._backlog:
+            self._handle(self._backlog.pop())
+        if self._backlog:
+            return True
+        self._finish_input()
+        return False
+
+    def _handle(self, message: Message | None) -> None:
+        try:
+            if message is None:  # a call that was cancelled before it was handled, and needs no answer
+                self._mark_used()
+            else:
                 self._on_message(message)
-            except Exception:
-                # The other open requests of the connection are still answered.
-                log.exception("message handling failed")
-                self.drain("message handling failed")
-        if error is not None:
+        except Exception:
+            # The other open requests of the connection are still answered.
+            log.exception("message handling failed")
+            self.drain("message handling failed")
+
+    def _finish_input(self) -> None:
+        """Read on, now that all messages are handled, unless the bytes after them cannot be parsed."""
+        if self._backlog_handled is not None and not self._backlog_handled.done():
+            self._backlog_handled.set_result(None)
+        error, self._input_error = self._input_error, None
+        if error is not None and self.lifecycle.processes_input:
             log.debug("client input cannot be parsed", error=str(error))
             self._can_parse_input = False
             self.drain("input unreadable")
 
-    def _on_message(self, data: bytes | rpc.DiscardedMessage) -> None:
+    async def wait_until_handled(self) -> None:
+        """Wait until the messages received so far are handled."""
+        while self._backlog:
+            self._backlog_handled = self.loop.create_future()
+            await self._backlog_handled
+
+    @property
+    def has_unhandled_input(self) -> bool:
+        """Whether input was read that is not handled yet."""
+        return bool(self._backlog) or self.stream.has_undelivered_data
+
+    @property
+    def has_unprocessed_input(self) -> bool:
+        """Whether messages wait to be handled, or input has arrived that is not processed yet."""
+        return bool(self._backlog) or super().has_unprocessed_input
+
+    def _on_message(self, data: Message) -> None:
         if isinstance(data, rpc.DiscardedMessage):
             self._on_discarded_message(data)
             return
@@ -108,9 +171,7 @@
         except rpc.InvalidMessageError as error:
             self._on_invalid_message(error.id, str(error))
             return
-        if not self.has_sent_message:
-            self.has_sent_message = True
-            self._update_idle()
+        self._mark_used()
         if isinstance(message, rpc.Notification):
             self._on_notification(message)
         elif not self.lifecycle.accepts_work:
@@ -120,6 +181,12 @@
         else:
             self._on_call(message)
 
+    def _mark_used(self) -> None:
+        """Record that the client has sent a message."""
+        if not self.has_sent_message:
+            self.has_sent_message = True
+            self._update_idle()
+
     def _on_notification(self, notification: rpc.Notification) -> None:
         if notification.method == CANCEL_METHOD:
             for message_id in notification.ids:
@@ -288,6 +355,7 @@
     def on_closed(self, event: Event, reason: str) -> None:
         """Cancel the open requests of a client whose connection has closed."""
         self._fault_replies.discard()
+        self._backlog.clear()
         self.reader.close()
         for request in self.open_requests.values():
             self.server.cancel(request.number, request.request_id)
--- /dev/null
+++ b/saffronlane/platform/downstream/input_scheduler.py
@@ -0,0 +1,53 @@
+"""Shares the time for handling messages between the connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .client_connection import ClientConnection
+
+MAX_HANDLING_TIME = 0.005  # seconds in one iteration of the event loop
+
+
+class InputScheduler:
+    """Lets connections handle their messages, for at most `MAX_HANDLING_TIME` in an iteration of the loop.
+
+    A connection whose messages find no time waits in a queue, in which each connection handles one message
+    at a time. A client that sends many messages thus waits for itself, and delays others by one message.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._waiting: deque[ClientConnection] = deque()
+        self._used_time = 0.0  # seconds, in this iteration
+        self._next_iteration: asyncio.Handle | None = None
+
+    def handle(self, client: ClientConnection) -> None:
+        """Handle the messages of a connection now if there is time, and otherwise when its turn has come.
+
+        The connection must not be in the queue, since it is not read while its messages wait.
+        """
+        self._waiting.append(client)
+        self._handle_waiting()
+
+    def _handle_waiting(self) -> None:
+        started_at = self._loop.time()
+        deadline = started_at + MAX_HANDLING_TIME - self._used_time
+        now = started_at
+        while self._waiting and now < deadline:
+            client = self._waiting.popleft()
+            if client.handle_next_message():
+                self._waiting.append(client)
+            now = self._loop.time()
+        self._used_time += now - started_at
+        if self._next_iteration is None:
+            self._next_iteration = self._loop.call_soon(self._begin_iteration)
+
+    def _begin_iteration(self) -> None:
+        self._next_iteration = None
+        self._used_time = 0.0
+        if self._waiting:
+            self._handle_waiting()
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -16,8 +16,10 @@
 from ..errors import BadRequestError
 from ..memory_budget import MemoryBudget
 from ..stream import READ_CHUNK_BYTES
+from .arrival_order import ArrivalOrder, HeldRequest
 from .client_connection import ClientConnection
 from .connection_eviction import EvictionOrder
+from .input_scheduler import InputScheduler
 from .listener import Listener
 from .reply_channel import ReplyChannel
 from .request_decoder import REQUEST_ID_FIELD, DecodedRequest, RequestDecoder
@@ -28,6 +30,7 @@
 EARLY_EVICTION_RATIO = 0.9  # fraction of the connection limit above which idle connections are evicted early
 SWEEP_INTERVAL = 0.25  # seconds
 EVICTION_RETRY_INTERVAL = 0.02  # seconds
+MAX_HOLD_RATIO = 0.5  # fraction of its timeout for which a request may wait for what arrived before it
 
 
 def _read_chunk_bytes(memory_bytes: float, max_clients: int) -> int:
@@ -63,6 +66,8 @@
         self.clients: dict[ClientConnection, None] = {}  # oldest first
         self.eviction = EvictionOrder(max_clients)
         self.open_request_ids: set[bytes] = set()
+        self.input_scheduler = InputScheduler()
+        self.arrival_order = ArrivalOrder(self._unread_clients)
         self.invalid_message_count = 0
         self.memory_rejection_count = 0
         self.request_count = 0
@@ -162,28 +167,56 @@
         return request
 
     def submit(self, request: DecodedRequest, channel: ReplyChannel) -> int:
-        """Submit a request to the dispatcher and return the dispatcher's number for it."""
+        """Submit a request to the dispatcher and return the dispatcher's number for it.
+
+        A request with an ordering key is submitted once all input that arrived before it has been read.
+        """
+        now = self._loop.time()
         self.request_count += 1
-        self.last_request_at = self._loop.time()
+        self.last_request_at = now
         self.open_request_ids.add(request.statement.request_id)
-        return self._executor.submit(
-            request.statement,
-            channel,
-            lambda number: dispatch.Submit(
+        number = self._executor.add_request(request.statement, channel)
+        submit = functools.partial(self._submit_added, number, request, received_at=now)
+        if not request.ordering_key:
+            submit()
+            return number
+        reject = functools.partial(
+            self._executor.reject_unsubmitted, number, self.retry_after, "earlier input is not read yet"
+        )
+        expires_at = now + MAX_HOLD_RATIO * request.timeout
+        self.arrival_order.hold(
+            HeldRequest(number, request.ordering_key, channel.client, expires_at, submit, reject)
+        )
+        return number
+
+    def _submit_added(self, number: int, request: DecodedRequest, received_at: float) -> None:
+        elapsed = self._loop.time() - received_at
+        self._executor.feed(
+            dispatch.Submit(
                 number,
                 request.class_index,
-                request.timeout,
+                request.timeout - elapsed,
                 request.tenant_index,
                 request.ordering_key,
                 request.estimated_work,
                 request.estimated_memory_mb,
                 request.table_group,
-            ),
+            )
         )
 
+    def _unread_clients(self) -> list[ClientConnection]:
+        """Return the connections whose input has not been read, including those that wait to be accepted."""
+        self.listener.accept_pending()
+        return [
+            client
+            for client in self.clients
+            if client.lifecycle.accepts_work and client.has_unprocessed_input
+        ]
+
     def cancel(self, number: int, request_id: bytes) -> None:
         """Cancel a request whose client no longer waits for the reply."""
         self.open_request_ids.discard(request_id)
+        self.arrival_order.discard(number)
         self._executor.disconnect_client(number)
 
     def on_connection_closed(self, client: ClientConnection) -> None:
@@ -230,7 +263,7 @@
     def has_unread_input(self) -> bool:
         """Accept pending connections; return whether there were any, or whether any input is unprocessed."""
         has_accepted = self.listener.accept_pending()
-        return has_accepted or any(client.stream.has_undelivered_data for client in self.clients)
+        return has_accepted or any(client.has_unhandled_input for client in self.clients)
 
     def drain(self) -> None:
         """Stop listening and close every connection gracefully."""
--- a/saffronlane/platform/managed_connection.py
+++ b/saffronlane/platform/managed_connection.py
@@ -58,6 +58,10 @@
         """Establish an outgoing connection; raise an error if that fails."""
         raise NotImplementedError
 
+    async def wait_until_handled(self) -> None:
+        """Wait until the input received so far is handled, which it is as soon as `receive` returns."""
+        return
+
     # --- reading ---
 
     async def _run(self) -> None:
@@ -73,6 +77,7 @@
                     # keep this task running, and the event loop would serve no other connection.
                     await asyncio.sleep(0)
                 self._on_data(await read_future)
+                await self.wait_until_handled()
         except StreamClosedError as error:
             self.handle_event(Event.EOF if error.real_error is None else Event.BROKEN, repr(error))
         except (OSError, TimeoutError) as error:
