Requests that have ended are not kept until they would have expired

Cause: the policy's timers held their request or attempt until they fired, also when it had ended. Besides, a request and its attempts refer to each other, and wait for a full garbage collection. Change: the end of a request or attempt cancels its timers (`CancelTimer`), and the dispatcher's queue drops them. A request drops its attempts once the last one has ended. Recordings get version 2, since a cancelled timer no longer causes a step; those of version 1 are replayed with timers that fire without effect, as they did. The test of a newer version names the version after the present one in place of a fixed number. `statistics` has `timers`. The node's tests now check that no timer is left wherever they check that no request is.

--- a/saffronlane/dispatch/action_handler.py
+++ b/saffronlane/dispatch/action_handler.py
@@ -22,21 +22,31 @@
         timers: The queue that receives the timers set by the policy.
         policy: The policy host, which records the write-ahead entries that a new attempt needs.
         effects: The list that the effects are appended to.
+        cancels_timers: Whether a cancelled timer is removed rather than left to fire without effect.
     """
 
     def __init__(
-        self, requests: RequestTable, timers: TimerQueue, policy: PolicyHost, effects: list[Effect]
+        self,
+        requests: RequestTable,
+        timers: TimerQueue,
+        policy: PolicyHost,
+        effects: list[Effect],
+        cancels_timers: bool,
     ) -> None:
         self._requests = requests
         self._timers = timers
         self._policy = policy
         self._effects = effects
+        self._cancels_timers = cancels_timers
 
     def handle(self, action: api.Action) -> None:
         """Apply one action."""
         match action:
             case api.SetTimer():
                 self._timers.schedule(action.deadline, action.token)
+            case api.CancelTimer():
+                if self._cancels_timers:
+                    self._timers.cancel(action.token)
             case api.Dispatch():
                 self._dispatch(action)
             case api.SetResourceGrant():
--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -40,6 +40,8 @@
             a step grows with the queue, so that without a limit a flood of requests would delay every answer.
         persisted_state: The learned state that an earlier run stored, or None if there is none.
         is_persistent: Whether learned state is stored. If so, steps emit `effects.Persist`.
+        cancels_timers: Whether a timer that the policy cancels is removed. If not, it fires without
+            effect, as in recordings of version 1.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         max_pending: int = MAX_PENDING,
         persisted_state: PersistedState | None = None,
         is_persistent: bool = False,
+        cancels_timers: bool = True,
     ) -> None:
         self.settings = settings
         self._record = record
@@ -62,7 +65,9 @@
         self._policy = PolicyHost(settings, seed, self._effects, persisted_state, is_persistent)
         intake = RequestIntake(settings.limits, max_pending)
         self._inputs = InputHandler(intake, self._requests, self._engines, self._policy, self._effects)
-        self._actions = ActionHandler(self._requests, self._timers, self._policy, self._effects)
+        self._actions = ActionHandler(
+            self._requests, self._timers, self._policy, self._effects, cancels_timers
+        )
 
     @property
     def gateway(self) -> Gateway:
@@ -104,6 +109,11 @@
         """The number of requests that wait for an engine."""
         return len(self.gateway.pending.queued)
 
+    @property
+    def timer_count(self) -> int:
+        """The number of timers that are set."""
+        return len(self._timers)
+
     @property
     def engines(self) -> list[bytes]:
         """The ids of the listed engines."""
@@ -174,5 +184,5 @@
             self._requests.release(request)
         self._timers.clear()
         for action in self._policy.restart(self._now, self._engines):
-            if isinstance(action, api.SetTimer):
+            if isinstance(action, api.SetTimer | api.CancelTimer):
                 self._actions.handle(action)
--- a/saffronlane/dispatch/recording.py
+++ b/saffronlane/dispatch/recording.py
@@ -2,8 +2,9 @@
 
 A recording is a sequence of MessagePack values, each prefixed with its length in four bytes, big-endian. The
 first value holds the settings, the seed, the limit on pending requests, the learned state that was read at
-startup (or nil) and, since version 0.3, the version of the recording format. Each later value is one step:
-its time, inputs and effects. Effects are stored as text.
+startup (or nil) and, since 0.3, the version of the recording format, which is 1 if it is missing. Each later
+value is one step: its time, inputs and effects. Effects are stored as text. In version 1, a timer fired
+also if its request or attempt had ended, and caused a step.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from .errors import RecordingError
 from .inputs import Input
 from .recording_schema import (
+    FIRST_RECORDING_VERSION,
     RECORDING_VERSION,
     decode,
     decode_input,
@@ -31,6 +33,7 @@
     without_log_texts,
 )
 
+READABLE_VERSIONS = range(FIRST_RECORDING_VERSION, RECORDING_VERSION + 1)
 _ENCODER = msgspec.msgpack.Encoder()
 _LENGTH_BYTES = 4
 
@@ -122,10 +125,11 @@
         settings = decode(encoded_settings, api.Settings)
     except (ValueError, TypeError, msgspec.ValidationError) as error:
         raise RecordingError(f"{path}: no settings in the first record: {error}") from error
-    version = optional_fields[1] if len(optional_fields) > 1 else RECORDING_VERSION
-    if version != RECORDING_VERSION:
+    version = optional_fields[1] if len(optional_fields) > 1 else FIRST_RECORDING_VERSION
+    if version not in READABLE_VERSIONS:
         raise RecordingError(
-            f"{path}: recording of version {version}; this program reads version {RECORDING_VERSION} only"
+            f"{path}: recording of version {version}; this program reads versions "
+            f"{FIRST_RECORDING_VERSION} to {RECORDING_VERSION} only"
         )
     return Dispatcher(
         settings,
@@ -133,4 +137,5 @@
         max_pending=max_pending,
         persisted_state=persisted_state,
         is_persistent=persisted_state is not None,
+        cancels_timers=version > FIRST_RECORDING_VERSION,
     )
--- a/saffronlane/dispatch/recording_schema.py
+++ b/saffronlane/dispatch/recording_schema.py
@@ -15,7 +15,8 @@
 from . import inputs
 from .recording_forms import FORMS, INPUT_BY_NAME
 
-RECORDING_VERSION = 1
+FIRST_RECORDING_VERSION = 1
+RECORDING_VERSION = 2
 ValueT = TypeVar("ValueT")
 
 
--- a/saffronlane/interface/__init__.py
+++ b/saffronlane/interface/__init__.py
@@ -7,6 +7,7 @@
 from .actions import (
     Action,
     Cancel,
+    CancelTimer,
     CloseIdleConnections,
     Dispatch,
     Fail,
@@ -57,6 +58,7 @@
     "Arrival",
     "AttemptEnded",
     "Cancel",
+    "CancelTimer",
     "ClassSettings",
     "ClientDisconnected",
     "CloseIdleConnections",
--- a/saffronlane/interface/actions.py
+++ b/saffronlane/interface/actions.py
@@ -69,6 +69,13 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class CancelTimer:
+    """Forget a timer whose subject has ended. A `TimerFired` event with its token has no effect any more."""
+
+    token: int
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeLoad:
     """Probe the load of an engine; a `ProbeResult` event follows."""
@@ -122,6 +129,7 @@
     | Reject
     | Fail
     | SetTimer
+    | CancelTimer
     | ProbeLoad
     | CloseIdleConnections
     | SendGossip
--- a/saffronlane/platform/stats.py
+++ b/saffronlane/platform/stats.py
@@ -108,6 +108,7 @@
         "pending": dispatcher.pending_count,
         "queued": dispatcher.queued_count,
         "in_flight": dispatcher.in_flight_count,
+        "timers": dispatcher.timer_count,
         "latency_inflation": round(concurrency_limit.latency_inflation, 2),
         "ejected": sum(engine.is_ejected for engine in ready),
         "warming_up": sum(engine.warmup_remaining(now, slow_start_duration) > 0.0 for engine in ready),
--- a/saffronlane/policy/execution/attempts.py
+++ b/saffronlane/policy/execution/attempts.py
@@ -47,7 +47,7 @@
         work = self.workload_estimates.work(request)
         retention = self.step_context.guarantees.slow_start_duration
         self.in_flight.add(attempt, work, RECENT_WORK_HORIZON, retention)
-        self.step_context.schedule(now + self.progress_timeout(request), attempt)
+        attempt.progress_timer = self.step_context.schedule(now + self.progress_timeout(request), attempt)
         timeout = max(MIN_DISPATCH_TIMEOUT, request.expires_at - EXPIRY_MARGIN - now)
         self.step_context.emit(api.Dispatch(request.id, engine.id, timeout, send_timeout))
         self.load_gossip.on_attempt_started(attempt)
@@ -88,6 +88,7 @@
         if attempt is None:
             return
         request = attempt.request
+        self.step_context.cancel_timer(attempt.progress_timer)
         self.load_gossip.on_attempt_ended(attempt)
         self._update_retry_state(attempt, event.outcome)
         self.outlier_detector.record_outcome(attempt, event.outcome)
@@ -96,7 +97,7 @@
         self.record_measurements(attempt, event)
         self._record_rejection(attempt.engine, event.outcome)
         if request.is_ended:
-            self.ordering.release(request)
+            self.completion.release_ended(request)
         elif event.outcome is Outcome.OK:
             self._record_served(request)
             self.completion.finish(request, needs_answer=False)
--- a/saffronlane/policy/execution/completion.py
+++ b/saffronlane/policy/execution/completion.py
@@ -43,7 +43,7 @@
         """Queue a new request and set a timer for its expiry."""
         request.deadline = self.deadline(request)
         self.pending.add(request)
-        self.step_context.schedule(request.expires_at - EXPIRY_MARGIN, request)
+        request.expiry_timer = self.step_context.schedule(request.expires_at - EXPIRY_MARGIN, request)
 
     def requeue(self, request: Request) -> None:
         """Queue a request again, for a retry."""
@@ -60,6 +60,7 @@
         if request.is_ended:
             return
         request.is_ended = True
+        self.step_context.cancel_timer(request.expiry_timer)
         self.pending.requests.pop(request.id, None)
         self.dequeue(request)
         if needs_answer:
@@ -67,7 +68,14 @@
         for attempt in request.attempts:
             if attempt.outcome is None:
                 self.cancel(attempt)
+        self.release_ended(request)
+
+    def release_ended(self, request: Request) -> None:
+        """Release what is kept for an ended request, once it has no attempt in flight."""
         self.pending.ordering.release(request)
+        if not request.in_flight_count:
+            # Attempts refer to their request. The cycle would be kept until the next full garbage collection.
+            request.attempts = []
 
     def _final_answer(self, request: Request) -> api.Reject | api.Fail:
         """Return a rejection if the client can retry safely, otherwise a failure."""
--- a/saffronlane/policy/execution/hedging.py
+++ b/saffronlane/policy/execution/hedging.py
@@ -37,7 +37,7 @@
             return
         due_at = attempt.last_progress_at + self.attempt_manager.progress_timeout(request)
         if due_at > now + TIMER_TOLERANCE:
-            self.step_context.schedule(due_at, attempt)
+            attempt.progress_timer = self.step_context.schedule(due_at, attempt)
             return
         attempt.engine.last_rejection_at = now
         self._record_unresponsive(attempt)
--- a/saffronlane/policy/gossip/load_gossip.py
+++ b/saffronlane/policy/gossip/load_gossip.py
@@ -75,7 +75,8 @@
             engine.id,
         )
         self.broadcast(message)
-        self.step_context.schedule(self.step_context.now + lifetime, GossipExpiry(attempt))
+        renewal_at = self.step_context.now + lifetime
+        attempt.gossip_timer = self.step_context.schedule(renewal_at, GossipExpiry(attempt))
 
     def renew_report(self, attempt: Attempt) -> None:
         """Renew the expired report of an attempt that is still in flight.
@@ -88,6 +89,7 @@
     def on_attempt_ended(self, attempt: Attempt) -> None:
         """Report the end of an attempt whose start was reported."""
         if attempt.gossip_number is not None:
+            self.step_context.cancel_timer(attempt.gossip_timer)
             self.broadcast(messages.GossipMessage(attempt.gossip_number))
 
     def report_rejection(self, engine: Engine) -> None:
--- a/saffronlane/simulator/action_codec.py
+++ b/saffronlane/simulator/action_codec.py
@@ -54,6 +54,8 @@
                 self._add(">HIQfB", ActionCode.SET_RESOURCE_GRANT, instance, request, memory_mb, priority)
             case api.SetTimer(token, deadline):
                 self._add(">HIQd", ActionCode.SET_TIMER, instance, token, deadline)
+            case api.CancelTimer():  # the protocol has no such action, and the event has no effect
+                pass
             case api.Cancel(request, attempt):
                 self._add(">HIQB", ActionCode.CANCEL, instance, request, attempt)
             case api.Reject(request, retry_after):
--- a/saffronlane/state/requests.py
+++ b/saffronlane/state/requests.py
@@ -29,6 +29,8 @@
         gossip_number: Its number in gossip messages; None if it was not reported to the peers.
         outcome: Its outcome; None while it is in flight.
         is_cancelled: Whether the engine was asked to cancel it.
+        progress_timer: Token of the timer that checks its progress.
+        gossip_timer: Token of the timer that renews its report to the peers; 0 if it was not reported.
     """
 
     request: Request
@@ -41,6 +43,8 @@
     gossip_number: int | None = None
     outcome: Outcome | None = None
     is_cancelled: bool = False
+    progress_timer: int = 0
+    gossip_timer: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +77,7 @@
         was_restarted: Whether an attempt was cancelled because it was far slower than expected.
         is_over_rate_limit: Whether it exceeds the rate limit of its tenant.
         failed_engines: Ids of the engines on which an attempt failed or had to wait.
+        expiry_timer: Token of the timer that ends it; 0 before it is queued.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         self.was_restarted = False
         self.is_over_rate_limit = False
         self.failed_engines: list[bytes] = []
+        self.expiry_timer = 0
 
     def first_possible_execution(self) -> Attempt | None:
         """Return the first attempt that may have been executed, or None if certainly none was."""
--- a/saffronlane/state/step.py
+++ b/saffronlane/state/step.py
@@ -47,9 +47,15 @@
         """Append an action to the actions of this step."""
         self.actions.append(action)
 
-    def schedule(self, time: float, subject: Request | Attempt | GossipExpiry | None) -> None:
-        """Set a timer for a time; `timers` holds its subject until it fires."""
+    def schedule(self, time: float, subject: Request | Attempt | GossipExpiry | None) -> int:
+        """Set a timer and return its token; `timers` holds its subject until it fires or is cancelled."""
         token = self._next_token
         self._next_token += 1
         self.timers[token] = subject
         self.actions.append(api.SetTimer(token, time))
+        return token
+
+    def cancel_timer(self, token: int) -> None:
+        """Cancel a timer, so that its subject is not kept until it would fire; no effect if it has fired."""
+        if self.timers.pop(token, None) is not None:
+            self.actions.append(api.CancelTimer(token))
--- a/tests/node/test_memory_limits.py
+++ b/tests/node/test_memory_limits.py
@@ -6,9 +6,11 @@
 import contextlib
 from pathlib import Path
 
+import msgspec
 import pytest
 from platform_world import ROWS, SETTINGS, Client, ComputeNodeConnection, Harness
 
+from saffronlane.platform.downstream.client_connection import MAX_OPEN_REQUESTS
 from saffronlane.platform.memory_budget import MemoryBudget, MemoryHolder
 from saffronlane.platform.upstream.connection import UpstreamConnection
 
@@ -30,6 +32,8 @@
 REQUESTS_EACH = 40
 LONG_STATEMENT = b"SELECT '" + b"x" * 240_000 + b"'"
 KB_PER_MB = 1000.0
+ROUNDS = 300  # in which 9,600 loads are taken back
+MAX_GROWTH_MB = 3.0  # about 300 bytes for each of these loads
 KIB = 1.024  # KB
 
 
@@ -193,3 +197,39 @@
             holder.add(1)
     assert budget.free_bytes >= 1000.0 / 10
     assert MemoryHolder(budget).admits(90)
+
+
+def cancel_call(message_id: int) -> bytes:
+    return msgspec.msgpack.encode([2, "forget", [message_id]])
+
+
+async def take_loads_back(client: Client) -> None:
+    """Send as many loads as may be open, and take them back once they have been read."""
+    message_ids = [client.last_message_id + 1 + n for n in range(MAX_OPEN_REQUESTS)]
+    for message_id in message_ids:
+        rid = request_id(message_id)
+        client.call("load", rid, token=rid * 2)
+    await client.writer.drain()
+    await asyncio.sleep(0.02)
+    client.send_raw(b"".join(map(cancel_call, message_ids)))
+
+
+def test_loads_that_were_taken_back_are_not_kept_until_they_would_expire(tmp_path: Path) -> None:
+    """Guards against memory that grows with requests that have ended."""
+
+    async def scenario() -> None:
+        services = [entry | {"deadline": 60.0} for entry in SETTINGS["services"]]
+        async with server_process(
+            tmp_path, never_answer, settings=SETTINGS | {"services": services}
+        ) as server:
+            client = await server.client()
+            for _ in range(20):
+                await take_loads_back(client)
+            before = private_memory_mb(server.process.pid)
+            for _ in range(ROUNDS):
+                await take_loads_back(client)
+            await asyncio.sleep(0.2)
+            assert private_memory_mb(server.process.pid) < before + MAX_GROWTH_MB
+            client.close()
+
+    asyncio.run(scenario())
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -240,6 +240,7 @@
             "pending_requests": len(gateway.pending.requests),
             "in_flight_attempts": len(gateway.in_flight.attempts),
             "queued_requests": len(gateway.pending.queued),
+            "timers": dispatcher.timer_count,
             "open_request_ids": len(server.downstream.open_request_ids),
             "held_bytes": server.memory.held_bytes,
             "connection_attempts": sum(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import io
 from collections.abc import Iterator
 from dataclasses import replace
@@ -14,7 +15,9 @@
 from saffronlane import dispatch
 from saffronlane import interface as api
 from saffronlane.dispatch.recording import RecordingError, RecordingWriter, replay
+from saffronlane.dispatch.timers import MIN_COMPACTED_ENTRIES, TimerQueue
 from saffronlane.interface import EngineState, Idempotency, Outcome
+from saffronlane.state import Attempt, Request
 
 ANSWER_TYPES = (dispatch.CompleteRequest, dispatch.RejectRequest, dispatch.FailRequest)
 
@@ -203,6 +206,54 @@
     assert not harness.effects_of_type(ANSWER_TYPES) and not harness.dispatcher._requests
 
 
+def test_requests_that_have_ended_keep_no_timer() -> None:
+    """Guards against memory that grows with cancelled requests: each was held until it would have expired."""
+    harness = Harness(replace(make_settings(), progress_interval=2.0))
+    for _ in range(1_000):
+        request = harness.submit(timeout=25.0)
+        harness.step(dispatch.ClientDisconnected(request))
+        harness.end_attempt(request, Outcome.CANCELLED)
+    dispatcher = harness.dispatcher
+    subjects = dispatcher.gateway.step_context.timers.values()
+    assert not [subject for subject in subjects if subject is not None]
+    assert dispatcher.timer_count <= 1  # for maintenance
+    assert len(dispatcher._timers._heap) <= MIN_COMPACTED_ENTRIES + 1
+
+
+def test_requests_that_have_ended_leave_no_reference_cycle() -> None:
+    """Guards against ended requests that are kept until the next full garbage collection."""
+    harness = Harness()
+    gc.collect()
+    gc.disable()
+    try:
+        for outcome in (Outcome.OK, Outcome.CANCELLED, Outcome.RESET):
+            request = harness.submit()
+            if outcome is Outcome.CANCELLED:
+                harness.step(dispatch.ClientDisconnected(request))
+            harness.end_attempt(request, outcome)
+            if outcome is Outcome.RESET:
+                harness.end_attempt(request, Outcome.OK, attempt=1)
+        assert not [item for item in gc.get_objects() if isinstance(item, Request | Attempt)]
+    finally:
+        gc.enable()
+
+
+def test_cancelled_timers_do_not_fire_and_others_fire_in_order() -> None:
+    timers = TimerQueue()
+    for token in range(1, 201):
+        timers.schedule(float(token % 50), token)
+    for token in range(1, 201):
+        if token % 4:
+            timers.cancel(token)
+    timers.cancel(4711)
+    live = sorted((float(token % 50), token) for token in range(4, 201, 4))
+    assert len(timers) == len(live)
+    assert timers.next_deadline == live[0][0]
+    assert timers.pop_due(25.0) == [token for deadline, token in live if deadline <= 25.0]
+    assert timers.pop_due(50.0) == [token for deadline, token in live if deadline > 25.0]
+    assert not len(timers)
+
+
 def test_drain_rejects_new_requests_and_answers_pending_ones() -> None:
     settings = make_settings(classes=one_class(idempotency=Idempotency.UNSAFE))
     harness = Harness(settings)
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -76,5 +76,5 @@
     header = msgspec.msgpack.decode(path.read_bytes()[4:])
     data = msgspec.msgpack.encode([*header[:4], RECORDING_VERSION + 1])
     path.write_bytes(len(data).to_bytes(4, "big") + data)
-    with pytest.raises(RecordingError, match="version 2"):
+    with pytest.raises(RecordingError, match=f"version {RECORDING_VERSION + 1};"):
         list(replay(path))
