A burst of requests costs the policy n log n, and decides as before

Cause: `GroupEdfScheduler` looked at all waiting requests for each one that it started; each dispatch also copied the engine's recent dispatches. Change: `EdfGroups` holds the waiting requests by deadline under a tournament tree of ExecTimes. Classes without capacity are passed over as a whole (`RequestQueue`).

--- a/saffronlane/learned_state/restore.py
+++ b/saffronlane/learned_state/restore.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 from .. import interface as api
 from ..policy import Gateway
@@ -182,9 +183,9 @@
             return
         self.summary.engines += 1
         past_time = self._records.past_time
-        engine.recent_dispatches = [
+        engine.recent_dispatches = deque(
             RecentDispatch(past_time(time), work) for time, work in record.recent_dispatches
-        ]
+        )
         engine.inferred_restart_at = past_time(record.inferred_restart_at)
         engine.connection_lost_at = past_time(record.connection_lost_at)
         engine.recent_work.value = record.recent_work
--- a/saffronlane/policy/execution/completion.py
+++ b/saffronlane/policy/execution/completion.py
@@ -48,7 +48,7 @@
     def requeue(self, request: Request) -> None:
         """Queue a request again, for a retry."""
         request.deadline = max(request.deadline, self.deadline(request))
-        self.pending.queued[request.id] = request
+        self.pending.queued.add(request)
 
     def finish(self, request: Request, needs_answer: bool = True) -> None:
         """End a request immediately and cancel its attempts.
@@ -93,13 +93,13 @@
 
     def dequeue(self, request: Request) -> None:
         """Remove a request from the queue."""
-        if self.pending.queued.pop(request.id, None) and self.queued_thread_seconds is not None:
+        if self.pending.queued.remove(request) and self.queued_thread_seconds is not None:
             self.queued_thread_seconds -= self._thread_seconds(request)
 
     def retry_after(self, request: Request) -> float:
         """Return the seconds until the queue has drained: at least ExecTime, up to what clients respect."""
         if self.queued_thread_seconds is None:
-            self.queued_thread_seconds = sum(map(self._thread_seconds, self.pending.queued.values()))
+            self.queued_thread_seconds = sum(map(self._thread_seconds, self.pending.queued))
         cores = self.engine_registry.ready_cores
         drain_time = math.inf
         if cores:
--- a/saffronlane/policy/execution/hedging.py
+++ b/saffronlane/policy/execution/hedging.py
@@ -78,7 +78,7 @@
             return
         is_congested = self.concurrency_limit.latency_inflation >= CONGESTED_INFLATION
         if not is_congested and request.in_flight_count < MAX_CONCURRENT_ATTEMPTS:
-            self.completion.pending.queued[request.id] = request
+            self.completion.pending.queued.add(request)
 
     def on_progress(self, event: api.ProgressReport) -> None:
         """Process a progress report of a running attempt."""
--- a/saffronlane/policy/routing/engine_selection.py
+++ b/saffronlane/policy/routing/engine_selection.py
@@ -44,9 +44,13 @@
             return load * OVERLOAD_FACTOR
         return load
 
+    def has_capacity(self, request: Request) -> bool:
+        """Return whether engines are listed and the concurrency limit admits the class of the request."""
+        return bool(self.engine_registry.ready_cores) and self.concurrency_limit.admits(request)
+
     def select(self, request: Request) -> Engine | None:
         """Return an engine for the request, or None if the request has to wait."""
-        if not self.engine_registry.ready_cores or not self.concurrency_limit.admits(request):
+        if not self.has_capacity(request):
             return None
         return (
             self._select_warming_up(request)
--- a/saffronlane/policy/scheduling/group_edf.py
+++ b/saffronlane/policy/scheduling/group_edf.py
@@ -1,15 +1,14 @@
 """Group EDF scheduling of queued requests; those that can't complete in time are ended."""
 
+import functools
 import math
 
 from ...state import Request
 from ..estimation.run_time_estimator import PRIOR_ANSWERS
 from ..execution.attempts import AttemptManager
 from ..execution.completion import EXPIRY_MARGIN, TIMER_TOLERANCE
+from .edf_groups import EdfGroups
 
-# Gr in the paper: ratio of a group's deadline range to the time that its first request has from arrival to
-# deadline.
-GROUP_RANGE_RATIO = 0.4
 MIN_LATE_PRIORITY_WEIGHT = 0.4  # classes below this expire at the latency objective while engines are full
 EXPIRY_CHECK_INTERVAL = 0.05  # seconds; a check in every step takes too long with long queues
 
@@ -61,14 +60,12 @@
         self.concurrency_limit.is_blocked = False
         self.engine_selector.peer_load.expire(now)
         self.pending.ordering.expire_cooldowns(now)
-        waiting = self._releasable_requests()
-        while waiting:
-            request = self._next_request(waiting)
-            waiting.remove(request)
+        groups = EdfGroups(self._releasable_requests(), self.workload_estimates.exec_time)
+        while (request := groups.pop()) is not None:
             engine = self.engine_selector.select(request)
             if engine is None:
                 self.concurrency_limit.is_blocked = True
-                waiting = self._without_similar(waiting, request)
+                groups.keep(functools.partial(self._may_have_engine, blocked=request))
             elif self.retry_policy.can_retry(request):  # its idempotency key may have expired while queued
                 self.attempt_manager.start(request, engine)
 
@@ -76,48 +73,47 @@
         """End the queued requests that can have no further attempt or can't complete in time."""
         expired = [
             request
-            for request in self.pending.queued.values()
-            if self.retry_policy.is_exhausted(request) or self.is_expired(request)
+            for request in self.pending.queued
+            if (request.attempts and self.retry_policy.is_exhausted(request)) or self.is_expired(request)
         ]
         for request in expired:
             if request.in_flight_count:  # queued for a hedged attempt; the first attempt may still complete
-                del self.pending.queued[request.id]
+                self.pending.queued.remove(request)
             else:
                 self.completion.finish(request)
 
     def _releasable_requests(self) -> list[Request]:
-        """Return the queued requests that may start now, those within their rate limit first, by deadline."""
+        """Return the queued requests that may start now, without the classes for which there is no capacity.
+
+        Attempts that start during the pass use capacity, so a class without it gets none in this pass.
+        """
+        requests: list[Request] = []
+        for class_index in self.pending.queued.classes:
+            releasable = filter(self._is_releasable, self.pending.queued.of_class(class_index))
+            first = next(releasable, None)
+            if first is None:
+                continue
+            if self.engine_selector.has_capacity(first):
+                requests.append(first)
+                requests.extend(releasable)
+            else:
+                self.concurrency_limit.is_blocked = True
+        return requests
+
+    def _is_releasable(self, request: Request) -> bool:
+        """Return whether a queued request may start now as far as it does not depend on an engine."""
         now = self.step_context.now
-        requests = [
-            request
-            for request in self.pending.queued.values()
-            if request.probing_until <= now + TIMER_TOLERANCE
+        return (
+            request.probing_until <= now + TIMER_TOLERANCE
             and self.pending.ordering.is_next(request, now)
             and self.retry_policy.has_retry_budget(request)
-        ]
-        requests.sort(key=lambda request: (request.is_over_rate_limit, request.deadline, request.id))
-        return requests
+        )
 
-    def _next_request(self, waiting: list[Request]) -> Request:
-        """Return the shortest request of the group that the first of the sorted requests defines."""
-        first = waiting[0]
-        group_end = first.deadline + GROUP_RANGE_RATIO * (first.deadline - first.arrived_at)
-        group = [
-            request
-            for request in waiting
-            if request.is_over_rate_limit == first.is_over_rate_limit and request.deadline <= group_end
-        ]
-        exec_time = self.workload_estimates.exec_time
-        return min(group, key=lambda request: (exec_time(request), request.deadline, request.id))
-
-    def _without_similar(self, waiting: list[Request], blocked: Request) -> list[Request]:
-        """Return the requests for which there may be an engine although the blocked request has none.
+    @staticmethod
+    def _may_have_engine(request: Request, blocked: Request) -> bool:
+        """Return whether there may be an engine for a request although the blocked request has none.
 
         Requests of its class are left out, since trying each of them would take too long. If the blocked
         request is a retry, first attempts of its class remain: they may use more engines than a retry.
         """
-        return [
-            request
-            for request in waiting
-            if request.class_index != blocked.class_index or (blocked.attempts and not request.attempts)
-        ]
+        return request.class_index != blocked.class_index or bool(blocked.attempts and not request.attempts)
--- a/saffronlane/state/engines.py
+++ b/saffronlane/state/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter, deque
 from hashlib import blake2b
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -34,6 +35,7 @@
         peer_bulk_loads: Number of the peers' bulk loads by the digest of their table group.
         recent_work: Work that this gateway sent, as the mean number of threads that it occupies.
         in_flight: This gateway's attempts without an outcome, by request and attempt index.
+        bulk_loads: Number of this gateway's bulk loads in flight by their table group.
         hash_fraction: Constant hash of its id from 0 to 1, an offset for the gateways' turns in slow start.
         last_response_at: Time of the last response or progress report; -inf if there was none.
         last_outcome_at: Time of the last update of the failure ratio; -inf if there was none.
@@ -62,6 +64,7 @@
         self.peer_bulk_loads: dict[int, int] = {}
         self.recent_work = DecayingRate()
         self.in_flight: dict[tuple[int, int], Attempt] = {}
+        self.bulk_loads: Counter[float] = Counter()
         digest = blake2b(entry.engine, digest_size=_HASH_BYTES).digest()
         self.hash_fraction = int.from_bytes(digest, "big") / 2.0 ** (8 * _HASH_BYTES)
         self.update(entry)
@@ -79,7 +82,7 @@
         """Reset the state of its process: a new process has been running since `now`."""
         self.last_response_at = self.last_outcome_at = self.last_rejection_at = -math.inf
         self.last_probe_at = -math.inf
-        self.recent_dispatches: list[RecentDispatch] = []
+        self.recent_dispatches: deque[RecentDispatch] = deque()
         self.reported_threads_per_core = 0.0
         self.reported_at = now  # a new process starts without load
         self.failure_ratio = 0.0
@@ -150,7 +153,10 @@
         """Return whether a known bulk load locks the table group on this engine."""
         if self.peer_bulk_loads and messages.table_group_digest(table_group) in self.peer_bulk_loads:
             return True
-        return any(
-            attempt.request.class_settings.is_bulk_load and attempt.request.table_group == table_group
-            for attempt in self.in_flight.values()
-        )
+        return self.bulk_loads[table_group] > 0
+
+    def count_bulk_load(self, table_group: float, change: int) -> None:
+        """Count a bulk load of this gateway that starts (1) or ends (-1)."""
+        self.bulk_loads[table_group] += change
+        if not self.bulk_loads[table_group]:
+            del self.bulk_loads[table_group]
--- a/saffronlane/state/in_flight.py
+++ b/saffronlane/state/in_flight.py
@@ -38,24 +38,29 @@
         request.in_flight_count += 1
         key = request.id, attempt.index
         self.attempts[key] = engine.in_flight[key] = attempt
-        self._count(attempt, 1.0)
+        self._count(attempt, 1)
         engine.recent_work.add(now, work, horizon)
         self.recent_work.add(now, work, horizon)
-        recent = [dispatch for dispatch in engine.recent_dispatches if dispatch.time > now - retention]
-        engine.recent_dispatches = [*recent, RecentDispatch(now, work)]
+        recent = engine.recent_dispatches
+        while recent and recent[0].time <= now - retention:
+            recent.popleft()
+        recent.append(RecentDispatch(now, work))
 
     def complete(self, request: int, attempt_index: int, outcome: Outcome) -> Attempt | None:
         """Record an attempt's outcome and return the attempt; None if it is not in flight."""
         attempt = self.attempts.pop((request, attempt_index), None)
         if attempt is not None:
             del attempt.engine.in_flight[request, attempt_index]
-            self._count(attempt, -1.0)
+            self._count(attempt, -1)
             attempt.outcome = outcome
             attempt.request.in_flight_count -= 1
         return attempt
 
-    def _count(self, attempt: Attempt, sign: float) -> None:
+    def _count(self, attempt: Attempt, sign: int) -> None:
+        request = attempt.request
+        if request.class_settings.is_bulk_load:
+            attempt.engine.count_bulk_load(request.table_group, sign)
         attempt.engine.in_flight_threads += sign * attempt.threads
         attempt.engine.in_flight_memory_mb += sign * attempt.memory_grant_mb
         self.threads += sign * attempt.threads
-        self.threads_by_class[attempt.request.class_index] += sign * attempt.threads
+        self.threads_by_class[request.class_index] += sign * attempt.threads
