Count the checks of capacity in the test of a long queue, since select is no longer reached

Cause: the test counted calls of EngineSelector.select in a step with a blocked class, and wanted 1 to 3. Change: it counts EngineSelector.has_capacity, which select calls once for each request that it tries, and which decides that a class is passed over: still 1 to 3 calls for more than 40 queued requests.

--- a/tests/test_missing_signals.py
+++ b/tests/test_missing_signals.py
@@ -83,13 +83,13 @@
         driver.end_attempt(request, Outcome.ERROR)
     assert len(driver.gateway.pending.queued) > 40
     calls: list[int] = []
-    select = EngineSelector.select
+    has_capacity = EngineSelector.has_capacity
 
-    def counting_select(engine_selector: EngineSelector, request: object) -> object:
-        calls.append(1)
-        return select(engine_selector, request)
+    def counting_has_capacity(engine_selector: EngineSelector, request: object) -> object:
+        calls.append(1)  # for each request that is tried, and for each class that is passed over as a whole
+        return has_capacity(engine_selector, request)
 
-    monkeypatch.setattr(EngineSelector, "select", counting_select)
+    monkeypatch.setattr(EngineSelector, "has_capacity", counting_has_capacity)
     driver.gateway.in_flight.threads_by_class[0], driver.gateway.concurrency_limit.limit = 100.0, 1.0
     driver.step(driver.make_arrival())
     assert 1 <= len(calls) <= 3
