The table group of a long statement is found in parts, in turns with other work

Cause: what a turn of the event loop does grew with what clients sent: all messages of all connections, and a whole statement, which takes the lexer some 0.1 s. Change: `TableGroupSearch` reads a statement in parts of 500 tokens; `TableGroupQueue` gives the searches 5 ms of a turn, a part for each. A request whose group is not found in half of its timeout is rejected.

--- a/saffronlane/platform/downstream/arrival_order.py
+++ b/saffronlane/platform/downstream/arrival_order.py
@@ -34,6 +34,7 @@
         ordering_key: The key of the order.
         client: The connection on which it was received.
         expires_at: The time of the event loop, in seconds, until which it may be held.
+        is_ready: Returns whether it may be submitted as far as it does not depend on other input.
         submit: Submits the request to the dispatcher.
         reject: Rejects the request, which was not submitted.
         scan: The number of the scan whose connections have to be read first.
@@ -44,6 +45,7 @@
     ordering_key: int
     client: ClientConnection
     expires_at: float
+    is_ready: Callable[[], bool]
     submit: Callable[[], None]
     reject: Callable[[], None]
     scan: int = 0
@@ -119,12 +121,6 @@
         if not same_key:
             del self._by_key[request.ordering_key]
 
-    def release_all(self) -> None:
-        """Submit all requests now, in the order that is known so far."""
-        for request in sorted(self._held.values(), key=lambda held: held.position):
-            self._remove(request)
-            request.submit()
-
     def _check(self) -> None:
         """Scan if there are new requests, and release those that have nothing to wait for."""
         self._next_check = None
@@ -156,7 +152,7 @@
         """Submit the requests of the scans before the given one, and reject those that waited too long."""
         now = self._loop.time()
         for same_key in list(self._by_key.values()):
-            while same_key and same_key[0].scan < first_open_scan:
+            while same_key and same_key[0].scan < first_open_scan and same_key[0].is_ready():
                 request = same_key[0]
                 self._remove(request)
                 request.submit()
--- a/saffronlane/platform/downstream/request_decoder.py
+++ b/saffronlane/platform/downstream/request_decoder.py
@@ -8,7 +8,6 @@
 from ... import msgpackrpc as rpc
 from ...interface import ClassSettings, Idempotency, Settings
 from ..errors import BadRequestError
-from ..sql_tables import table_group
 from ..statement import Statement
 
 # Names of the fields in the client protocol.
@@ -43,7 +42,6 @@
         ordering_key: The ordering key, or 0 if the request is not ordered.
         estimated_work: The client's estimate of the work in seconds, or 0 if it gave none.
         estimated_memory_mb: The client's estimate of the memory in MB, or 0 if it gave none.
-        table_group: Number of the table group that the statement uses, or 0 if it uses none.
     """
 
     statement: Statement
@@ -53,7 +51,6 @@
     ordering_key: int
     estimated_work: float
     estimated_memory_mb: float
-    table_group: float
 
 
 class RequestDecoder:
@@ -95,7 +92,6 @@
             ordering_key=_ordering_key(class_settings, fields),
             estimated_work=_number(fields, ESTIMATED_WORK_MS_FIELD, MAX_WORK_MS) / MS_PER_SECOND,
             estimated_memory_mb=_number(fields, ESTIMATED_MEMORY_MB_FIELD, MAX_MEMORY_MB),
-            table_group=table_group(body),
         )
 
     def _tenant_index(self, fields: dict[str, str]) -> int:
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -6,6 +6,7 @@
 import functools
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ... import dispatch
 from ... import msgpackrpc as rpc
@@ -24,12 +25,13 @@
 from .listener import Listener
 from .reply_channel import ReplyChannel
 from .request_decoder import REQUEST_ID_FIELD, DecodedRequest, RequestDecoder
+from .table_group_queue import TableGroupQueue
 
 MIN_READ_CHUNK_BYTES = 4_096
 EARLY_EVICTION_RATIO = 0.9  # fraction of the connection limit above which idle connections are evicted early
 SWEEP_INTERVAL = 0.25  # seconds
 EVICTION_RETRY_INTERVAL = 0.02  # seconds
-MAX_HOLD_RATIO = 0.5  # fraction of its timeout for which a request may wait for what arrived before it
+MAX_HOLD_RATIO = 0.5  # fraction of its timeout after which a request is not submitted any more
 
 
 def _read_chunk_bytes(read_buffer_bytes: float, max_clients: int) -> int:
@@ -38,6 +40,28 @@
     return max(MIN_READ_CHUNK_BYTES, min(chunk_bytes, READ_CHUNK_BYTES))
 
 
+@dataclass(slots=True, eq=False)
+class Submission:
+    """A request that is added to the executor and not submitted to the dispatcher yet.
+
+    Attributes:
+        number: The dispatcher's number for the request.
+        request: The request.
+        received_at: The time of the event loop, in seconds, at which it was decoded.
+        table_group: The number of the table group that its statement uses, 0 if none; None if not known yet.
+    """
+
+    number: int
+    request: DecodedRequest
+    received_at: float
+    table_group: float | None = None
+
+    @property
+    def latest_at(self) -> float:
+        """The time of the event loop, in seconds, until which it may be submitted."""
+        return self.received_at + MAX_HOLD_RATIO * self.request.timeout
+
+
 class DownstreamServer:
     """Listens for clients and enforces the limits on their connections.
 
@@ -68,6 +92,7 @@
         self.open_request_ids: set[bytes] = set()
         self.input_scheduler = InputScheduler()
         self.arrival_order = ArrivalOrder(self._unread_clients)
+        self.table_groups = TableGroupQueue()
         self.invalid_message_count = 0
         self.memory_rejection_count = 0
         self.request_count = 0
@@ -170,38 +195,65 @@
     def submit(self, request: DecodedRequest, channel: ReplyChannel) -> int:
         """Submit a request to the dispatcher and return the dispatcher's number for it.
 
-        A request with an ordering key is submitted once all input that arrived before it has been read.
+        It is submitted once its table group is found and, if it has an ordering key, all input that arrived
+        before it has been read. If this takes too long, it is rejected.
         """
         now = self._loop.time()
         self.request_count += 1
         self.last_request_at = now
         self.open_request_ids.add(request.statement.request_id)
         number = self._executor.add_request(request.statement, channel)
-        submit = functools.partial(self._submit_added, number, request, received_at=now)
-        if not request.ordering_key:
-            submit()
-            return number
-        reject = functools.partial(
-            self._executor.reject_unsubmitted, number, self.retry_after, "earlier input is not read yet"
-        )
-        expires_at = now + MAX_HOLD_RATIO * request.timeout
-        self.arrival_order.hold(
-            HeldRequest(number, request.ordering_key, channel.client, expires_at, submit, reject)
+        submission = Submission(number, request, now)
+        if request.ordering_key:
+            self.arrival_order.hold(self._held_request(submission, channel.client))
+        self.table_groups.find(
+            request.statement.body,
+            functools.partial(self._is_unanswered, number),
+            functools.partial(self._on_table_group, submission),
         )
         return number
 
-    def _submit_added(self, number: int, request: DecodedRequest, received_at: float) -> None:
-        elapsed = self._loop.time() - received_at
+    def _held_request(self, submission: Submission, client: ClientConnection) -> HeldRequest:
+        return HeldRequest(
+            submission.number,
+            submission.request.ordering_key,
+            client,
+            submission.latest_at,
+            lambda: submission.table_group is not None,
+            functools.partial(self._submit_added, submission),
+            functools.partial(self._reject_added, submission),
+        )
+
+    def _is_unanswered(self, number: int) -> bool:
+        return self._executor.unanswered_request(number) is not None
+
+    def _on_table_group(self, submission: Submission, table_group: float) -> None:
+        """Submit a request whose table group was found, unless its order is not known yet."""
+        submission.table_group = table_group
+        if submission.request.ordering_key:
+            return
+        if self._loop.time() < submission.latest_at:
+            self._submit_added(submission)
+        else:
+            self._reject_added(submission)
+
+    def _reject_added(self, submission: Submission) -> None:
+        reason = "the request was not submitted in time"
+        self._executor.reject_unsubmitted(submission.number, self.retry_after, reason)
+
+    def _submit_added(self, submission: Submission) -> None:
+        request = submission.request
+        elapsed = self._loop.time() - submission.received_at
         self._executor.feed(
             dispatch.Submit(
-                number,
+                submission.number,
                 request.class_index,
                 request.timeout - elapsed,
                 request.tenant_index,
                 request.ordering_key,
                 request.estimated_work,
                 request.estimated_memory_mb,
-                request.table_group,
+                submission.table_group or 0.0,
             )
         )
 
--- a/tests/node/test_bursts.py
+++ b/tests/node/test_bursts.py
@@ -4,9 +4,16 @@
 
 import asyncio
 import contextlib
+import os
+import select
 import signal
+import socket
+import time
+from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
+import pytest
 from platform_world import SETTINGS, Client, ComputeNodeConnection
 
 from saffronlane.platform.downstream.client_connection import MAX_OPEN_REQUESTS
@@ -72,3 +79,96 @@
                     writer.close()
 
     asyncio.run(scenario())
+
+
+FLOOD_CONNECTIONS = 8
+FLOOD_SECONDS = 3.0
+CALLS_IN_BLOCK = 200
+LONG_STATEMENT = b"SELECT " + b"a.b," * 60_000 + b"c FROM staging.t"
+MAX_GROWTH_MB = 8.0  # of private memory during a flood
+STATEMENTS_MB = FLOOD_CONNECTIONS * MAX_OPEN_REQUESTS * len(LONG_STATEMENT) / 1e6  # that may be open at once
+
+
+def health_checks(first: int) -> bytes:
+    return b"".join(msgspec.msgpack.encode([0, first + n, "isWell", [{}]]) for n in range(CALLS_IN_BLOCK))
+
+
+def calls_taken_back(first: int) -> bytes:
+    """Return calls that name ever new tables, keys and ids, each taken back at once."""
+    parts = []
+    for number in range(first, first + CALLS_IN_BLOCK):
+        fields = {"rid": os.urandom(8).hex(), "token": os.urandom(16).hex(), "obj": os.urandom(8).hex()}
+        parts.append(encode_call(number, "load", b"DELETE FROM s_%d.t" % number, **fields))
+        parts.append(msgspec.msgpack.encode([2, "forget", [number]]))
+    return b"".join(parts)
+
+
+def unknown_notifications(first: int) -> bytes:
+    numbers = range(first, first + CALLS_IN_BLOCK)
+    return b"".join(msgspec.msgpack.encode([2, f"name-{number}", [number]]) for number in numbers)
+
+
+def unknown_classes(first: int) -> bytes:
+    numbers = range(first, first + CALLS_IN_BLOCK)
+    return b"".join(encode_call(number, f"class-{number}", rid=os.urandom(8).hex()) for number in numbers)
+
+
+def long_statements(first: int) -> bytes:
+    return encode_call(first, body=LONG_STATEMENT, rid=os.urandom(8).hex())
+
+
+def flood(port: int, make_block: Callable[[int], bytes]) -> None:
+    """Send at full speed and read what is sent, on one connection at a time; runs in a thread."""
+    until = time.monotonic() + FLOOD_SECONDS
+    while time.monotonic() < until:
+        first = 1
+        with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port)) as connection:
+            connection.settimeout(0.01)
+            while time.monotonic() < until:
+                block = memoryview(make_block(first))
+                first += CALLS_IN_BLOCK
+                while block and time.monotonic() < until:
+                    readable, writable, _ = select.select([connection], [connection], [], 0.1)
+                    if readable and not connection.recv(65_536):
+                        raise ConnectionResetError
+                    if writable:
+                        block = block[connection.send(block) :]
+
+
+def private_memory_mb(process_id: int) -> float:
+    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
+    (size,) = (line.split()[1] for line in lines if line.startswith("RssAnon:"))
+    return int(size) * 1.024 / 1000.0
+
+
+@pytest.mark.parametrize(
+    "make_block",
+    [health_checks, calls_taken_back, unknown_notifications, unknown_classes, long_statements],
+)
+def test_clients_at_full_speed_neither_delay_others_nor_raise_the_memory(
+    tmp_path: Path, make_block: Callable[[int], bytes]
+) -> None:
+    """Guards against turns of the event loop, and against memory, that grow with what a client sends."""
+
+    async def scenario() -> None:
+        scripts = [answer_after_20_ms] * 2
+        changes = {"limits": LIMITS, "settings": SETTINGS_WITH_LARGE_NODES}
+        async with server_process(tmp_path, *scripts, **changes) as server:
+            usual = await server.client()
+            await ask(usual, 0)
+            before = private_memory_mb(server.process.pid)
+            floods = [
+                asyncio.ensure_future(asyncio.to_thread(flood, server.port, make_block))
+                for _ in range(FLOOD_CONNECTIONS)
+            ]
+            latencies = []
+            memory = []
+            while not all(task.done() for task in floods):
+                latencies.append(await ask(usual, len(latencies) + 1))
+                memory.append(private_memory_mb(server.process.pid))
+            await asyncio.gather(*floods)
+            assert max(latencies) < BUDGET
+            assert max(memory) - before < MAX_GROWTH_MB + STATEMENTS_MB * (make_block is long_statements)
+            usual.close()
+
+    asyncio.run(scenario())
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import re
+from random import Random
 from typing import Any
 
 import pytest
@@ -12,7 +14,7 @@
 from saffronlane import interface as api
 from saffronlane.platform.config import ConfigError, EndpointList, load_config, parse_config
 from saffronlane.platform.discovery.endpoints import EndpointTable
-from saffronlane.platform.sql_tables import table_group
+from saffronlane.platform.sql_tables import TableGroupSearch, table_group
 from saffronlane.simulator import settings as simulator_settings
 
 
@@ -205,3 +207,68 @@
     members = [member("a", 1, "asleep"), member("b", 1, flavor="none"), member("c", 0), member("d", 4)]
     update, _ = table.apply(endpoint_list(*members))
     assert [entry.engine for entry in update.entries] == [b"d"]
+
+
+class PlainTableGroup:
+    """The search for the table group in its plain form, on text and in one pass, as a reference."""
+
+    NAME = r'(?:"(?:[^"]|"")*+"|[A-Za-z_][\w$]*+)'
+    TOKEN = re.compile(
+        r"(?P<skip>'(?:[^']|'')*+(?:'|\Z)|--[^\n]*+|/\*(?:[^*]|\*(?!/))*+(?:\*/|\Z))"
+        rf"|(?P<path>{NAME}(?:\s*+\.\s*+{NAME})++)"
+        r"|(?P<word>\"(?:[^\"]|\"\")*+(?:\"|\Z)|[A-Za-z_][\w$]*+)"
+        r"|(?P<other>[^\s])"
+    )
+    KEYWORDS = ("from", "join", "into", "update", "table", "using")
+    MODIFIERS = ("only", "lateral", "overwrite")
+
+    @classmethod
+    def find(cls, statement: bytes) -> float:
+        fallback_group: float | None = None
+        expects_table = False
+        for token in cls.TOKEN.finditer(statement.decode("latin-1")):
+            kind = token.lastgroup
+            if kind == "skip":
+                continue
+            if kind == "path":
+                group = cls.schema_group(token.group())
+                if group is not None and expects_table:
+                    return group
+                if group is not None and fallback_group is None:
+                    fallback_group = group
+            if kind == "word":
+                word = token.group().lower()
+                expects_table = word in cls.KEYWORDS or (expects_table and word in cls.MODIFIERS)
+            else:
+                expects_table = False
+        return fallback_group or 0.0
+
+    @classmethod
+    def schema_group(cls, path: str) -> float | None:
+        schema = re.findall(cls.NAME, path)[-2].strip('"')
+        name, underscore, number = schema.rpartition("_")
+        if not underscore or not name or name.lower() == "staging":
+            return None
+        return float(number[:12]) if number.isascii() and number.isdigit() else None
+
+
+STATEMENT_PARTS = (
+    *("select ", "from", " join ", "into ", "update ", "FROM\u00a0s_8.t", "only ", "table overwrite b_7.c"),
+    *("sales_17.orders", "s_3.t", "staging.x", "staging_4.x", "a.b", '"q_5"."t"', "x\u00a0.\u0085y_3.z"),
+    *("é_4.t", "'text'", "'", '"', "--c\n", "/* x */", "/*", "*/", "**/", "''", " . ", "_9", ", ", "(", "$"),
+    *("\n", "x_²3.t"),
+)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_table_group_of_a_drawn_statement_is_that_of_the_plain_form_also_in_parts(seed: int) -> None:
+    random = Random(seed)
+    for _ in range(300):
+        text = "".join(random.choice(STATEMENT_PARTS) for _ in range(random.randrange(1, 12)))
+        statement = text.encode(random.choice(("utf-8", "latin-1")))
+        expected = PlainTableGroup.find(statement)
+        assert table_group(statement) == expected, statement
+        search = TableGroupSearch(statement)
+        while not search.advance(random.randrange(1, 4)):
+            pass
+        assert search.group == expected, statement
