Nothing is sent for a client that has left, and its ids do not run again

Seen: a client that closed its connection with much unread had its requests sent on afterwards, and an id ran twice when it came again after its client had left. Cause: a request was submitted once decoded, with the end of its connection unread behind it. The id of a request was free again once its client had left. Change: a request is submitted once all input of its connection that has arrived was read; input is read ahead of its handling, up to 64 messages; the system is asked for a close behind unread input before a request is submitted or sent. The id of a request whose client has left is refused until the longest deadline has passed; after a `forget` only where the class may not simply be repeated, as a test of the project wants it. The command sender's stand-in for a client has the new method of the protocol.

--- a/saffronlane/msgpackrpc/__init__.py
+++ b/saffronlane/msgpackrpc/__init__.py
@@ -5,9 +5,10 @@
 
 from .errors import InvalidMessageError, ScanError
 from .messages import Call, Notification, Reply, decode_message, encode_reply, is_notification, read_call_id
-from .scanner import DiscardedMessage, Scanner
+from .scanner import HEAD_BYTES, DiscardedMessage, Scanner
 
 __all__ = [
+    "HEAD_BYTES",
     "Call",
     "DiscardedMessage",
     "InvalidMessageError",
--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
@@ -16,7 +17,7 @@
 from ..stream import Stream
 from .fault_replies import DelayedFaultReplies
 from .message_backlog import Message, MessageBacklog
-from .message_reader import MAX_MESSAGE_BYTES, MessageReader
+from .message_reader import MAX_MESSAGE_BYTES, SMALL_MESSAGE_BYTES, MessageReader
 from .reply_channel import FAULT_ERROR, ReplyChannel, rejection
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
 REQUEST_OVERHEAD_BYTES = 4_096  # kept for each open request besides its statement
 MAX_REPLY_BYTES = 49_152
 MAX_UNREAD_BYTES = MAX_OPEN_REQUESTS * MAX_REPLY_BYTES  # reply bytes that a client may leave unread
+MAX_READ_AHEAD_MESSAGES = 2 * MAX_OPEN_REQUESTS  # that wait to be handled; with more, reading pauses
 FIRST_MESSAGE_TIMEOUT = 2.0  # seconds to wait for the first message of a connection
 IDLE_TIMEOUT = 5.0  # seconds without an open request; clients close idle connections after 4 s
 MAX_INVALID_MESSAGES = 8  # number of invalid messages after which a connection is closed
@@ -44,17 +46,35 @@
     Attributes:
         number: The dispatcher's number for the request.
         request_id: The client's id for the request.
+        is_safe: Whether the request may be executed more than once.
     """
 
     number: int
     request_id: bytes
+    is_safe: bool
+
+
+class WaitingSubmission(NamedTuple):
+    """A request that is submitted once all input of its connection was read.
+
+    Attributes:
+        latest_at: The time of the event loop, in seconds, at which it is rejected instead.
+        submit: Submits the request to the dispatcher.
+        reject: Rejects the request, which was not submitted.
+    """
+
+    latest_at: float
+    submit: Callable[[], None]
+    reject: Callable[[], None]
 
 
 class ClientConnection(ManagedConnection):
     """Reads a client's requests and writes its replies.
 
-    The connection is read whenever its earlier messages are handled, for which `InputScheduler` allots the
-    time. Cancellations are applied as soon as they are received, also to calls that have not been handled.
+    The connection is read ahead of the handling of its messages, for which `InputScheduler` allots the time.
+    Cancellations are applied as soon as they are received, also to calls that have not been handled. No
+    request is submitted or sent for a client that has closed its connection, however much of its input is
+    unread.
 
     Args:
         server: The server that owns the connection.
@@ -77,7 +97,8 @@
         self.reader = MessageReader(self.memory, now)
         self.received_bytes = 0
         self._backlog = MessageBacklog(self.memory)
-        self._backlog_handled: asyncio.Future[None] | None = None
+        self._waiting_submissions: list[WaitingSubmission] = []
+        self._reading_resumed: asyncio.Future[None] | None = None
         self._input_error: rpc.ScanError | None = None  # in the bytes after the messages of the backlog
         self._can_parse_input = True
         self._output: list[bytes] = []
@@ -92,14 +113,45 @@
         if not self._can_parse_input:
             return
         messages, self._input_error = self.reader.feed(data, self.loop.time())
+        self._can_parse_input = self._input_error is None
         for message in messages:
             if not self._apply_cancellation(message):
-                self._backlog.append(message)
+                self._backlog.append(self._within_memory(message))
         if self._backlog:
             self.server.input_scheduler.handle(self)
         else:
             self._finish_input()
 
+    def _within_memory(self, message: Message) -> Message:
+        """Return a message that has to wait, or only its head if there is no memory for it."""
+        is_large = len(message) > SMALL_MESSAGE_BYTES
+        if isinstance(message, bytes) and is_large and not self.memory.admits(len(message)):
+            return rpc.DiscardedMessage(message[: rpc.HEAD_BYTES])
+        return message
+
+    def submit_when_read(self, waiting: WaitingSubmission) -> None:
+        """Submit a request once all input that has arrived was read.
+
+        The client may have left, and the end of the connection is behind this input.
+        """
+        if self.stream.has_unread_input:
+            self._waiting_submissions.append(waiting)
+        else:
+            waiting.submit()
+
+    def on_input_read(self) -> None:
+        """Submit the requests that waited for this."""
+        waiting, self._waiting_submissions = self._waiting_submissions, []
+        for submission in waiting:
+            submission.submit()
+
+    def _reject_late_submissions(self, now: float) -> None:
+        """Reject the requests that have waited for too long."""
+        late = [submission for submission in self._waiting_submissions if now >= submission.latest_at]
+        self._waiting_submissions = [s for s in self._waiting_submissions if s not in late]
+        for submission in late:
+            submission.reject()
+
     def _apply_cancellation(self, message: Message) -> bool:
         """Apply a cancellation that follows messages in the backlog; return whether the message is one."""
         if not self._backlog or isinstance(message, rpc.DiscardedMessage) or not rpc.is_notification(message):
@@ -121,11 +173,17 @@
             self._backlog.clear()
         if self._backlog:
             self._handle(self._backlog.pop())
+        if len(self._backlog) < MAX_READ_AHEAD_MESSAGES:
+            self._resume_reading()
         if self._backlog:
             return True
         self._finish_input()
         return False
 
+    def _resume_reading(self) -> None:
+        if self._reading_resumed is not None and not self._reading_resumed.done():
+            self._reading_resumed.set_result(None)
+
     def _handle(self, message: Message | None) -> None:
         try:
             if message is None:  # a call that was cancelled before it was handled, and needs no answer
@@ -139,19 +197,30 @@
 
     def _finish_input(self) -> None:
         """Read on, now that all messages are handled, unless the bytes after them cannot be parsed."""
-        if self._backlog_handled is not None and not self._backlog_handled.done():
-            self._backlog_handled.set_result(None)
+        self._resume_reading()
         error, self._input_error = self._input_error, None
         if error is not None and self.lifecycle.processes_input:
             log.debug("client input cannot be parsed", error=str(error))
-            self._can_parse_input = False
             self.drain("input unreadable")
 
     async def wait_until_handled(self) -> None:
-        """Wait until the messages received so far are handled."""
-        while self._backlog:
-            self._backlog_handled = self.loop.create_future()
-            await self._backlog_handled
+        """Wait until further input may be read.
+
+        Input is read ahead of the handling of messages, so that the end of the connection is noticed soon.
+        """
+        while len(self._backlog) >= MAX_READ_AHEAD_MESSAGES:
+            self._reading_resumed = self.loop.create_future()
+            await self._reading_resumed
+
+    def close_if_left(self) -> bool:
+        """Close the connection if its client has closed it, also if earlier input is unread.
+
+        Returns:
+            Whether the client has left. Its open requests are cancelled then.
+        """
+        if not self.lifecycle.is_closed and self.stream.has_peer_closed:
+            self.handle_event(Event.EOF, "closed by the client")
+        return self.lifecycle.is_closed
 
     @property
     def has_unhandled_input(self) -> bool:
@@ -213,7 +282,8 @@
         request_id = request.statement.request_id
         self.memory.add(held_bytes)
         number = self.server.submit(request, ReplyChannel(self, call.id, request_id, held_bytes))
-        self.open_requests[call.id] = OpenRequest(number, request_id)
+        is_safe = self.server.is_safe(request)
+        self.open_requests[call.id] = OpenRequest(number, request_id, is_safe)
         self.request_count += 1
         self.server.eviction.mark_busy(self)
 
@@ -241,7 +311,7 @@
     def _on_cancel(self, message_id: int) -> None:
         request = self.open_requests.pop(message_id, None)
         if request is not None:
-            self.server.cancel(request.number, request.request_id)
+            self.server.cancel(request.number, request.request_id, may_come_again=request.is_safe)
             self._update_idle()
 
     def _on_invalid_message(self, message_id: int | None, reason: str) -> None:
@@ -339,6 +409,7 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if the client is idle, or too slow to read replies or to send a message."""
+        self._reject_late_submissions(now)
         if self.has_pending_output:
             if self.update_stall() > CONNECTION_LIMITS.stall_timeout:
                 self.abort("replies not read")
@@ -374,9 +445,10 @@
         """Cancel the open requests of a client whose connection has closed."""
         self._fault_replies.discard()
         self._backlog.clear()
+        self._waiting_submissions = []
         self.reader.close()
         for request in self.open_requests.values():
-            self.server.cancel(request.number, request.request_id)
+            self.server.cancel(request.number, request.request_id, may_come_again=False)
         self.open_requests.clear()
         self._output.clear()
         self._set_unread(0)
--- a/saffronlane/platform/downstream/input_scheduler.py
+++ b/saffronlane/platform/downstream/input_scheduler.py
@@ -22,15 +22,15 @@
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._waiting: deque[ClientConnection] = deque()
+        self._is_waiting: set[ClientConnection] = set()
         self._used_time = 0.0  # seconds, in this iteration
         self._next_iteration: asyncio.Handle | None = None
 
     def handle(self, client: ClientConnection) -> None:
-        """Handle the messages of a connection now if there is time, and otherwise when its turn has come.
-
-        The connection must not be in the queue, since it is not read while its messages wait.
-        """
-        self._waiting.append(client)
+        """Handle the messages of a connection now if there is time, and otherwise when its turn has come."""
+        if client not in self._is_waiting:
+            self._is_waiting.add(client)
+            self._waiting.append(client)
         self._handle_waiting()
 
     def _handle_waiting(self) -> None:
@@ -41,6 +41,8 @@
             client = self._waiting.popleft()
             if client.handle_next_message():
                 self._waiting.append(client)
+            else:
+                self._is_waiting.discard(client)
             now = self._loop.time()
         self._used_time += now - started_at
         if self._next_iteration is None:
--- a/saffronlane/platform/downstream/message_backlog.py
+++ b/saffronlane/platform/downstream/message_backlog.py
@@ -31,9 +31,9 @@
         self._messages: deque[_WaitingMessage] = deque()
         self._calls: dict[int, _WaitingMessage] = {}  # the latest waiting call by its id
 
-    def __bool__(self) -> bool:
-        """Whether messages wait."""
-        return bool(self._messages)
+    def __len__(self) -> int:
+        """The number of messages that wait."""
+        return len(self._messages)
 
     def append(self, message: Message) -> None:
         """Add a message."""
--- a/saffronlane/platform/downstream/reply_channel.py
+++ b/saffronlane/platform/downstream/reply_channel.py
@@ -58,6 +58,10 @@
         """Whether the client has sent bytes that have not been processed yet."""
         return self.client.has_unprocessed_input
 
+    def close_if_left(self) -> bool:
+        """Close the connection if the client has closed it; return whether the client has left."""
+        return self.client.close_if_left()
+
     def send_result(self, body: bytes) -> None:
         """Reply with a result."""
         self.client.send_reply(self, rpc.Reply(self.message_id, None, {}, body))
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -11,7 +11,7 @@
 from ... import dispatch
 from ... import msgpackrpc as rpc
 from ...engines import Executor
-from ...interface import Settings
+from ...interface import Idempotency, Settings
 from ..config import Address
 from ..descriptors import DescriptorExhaustion
 from ..errors import BadRequestError
@@ -19,7 +19,8 @@
 from ..memory_plan import MemoryPlan
 from ..stream import READ_CHUNK_BYTES
 from .arrival_order import ArrivalOrder, HeldRequest
-from .client_connection import ClientConnection
+from .cancelled_requests import CancelledRequestIds
+from .client_connection import ClientConnection, WaitingSubmission
 from .connection_eviction import EvictionOrder
 from .input_scheduler import InputScheduler
 from .listener import Listener
@@ -47,12 +48,14 @@
     Attributes:
         number: The dispatcher's number for the request.
         request: The request.
+        client: The connection on which it was received.
         received_at: The time of the event loop, in seconds, at which it was decoded.
         table_group: The number of the table group that its statement uses, 0 if none; None if not known yet.
     """
 
     number: int
     request: DecodedRequest
+    client: ClientConnection
     received_at: float
     table_group: float | None = None
 
@@ -90,6 +93,8 @@
         self.clients: dict[ClientConnection, None] = {}  # oldest first
         self.eviction = EvictionOrder(max_clients)
         self.open_request_ids: set[bytes] = set()
+        max_deadline = max((query_class.deadline for query_class in settings.classes), default=0.0)
+        self.cancelled_request_ids = CancelledRequestIds(max_age=max_deadline)
         self.input_scheduler = InputScheduler()
         self.arrival_order = ArrivalOrder(self._unread_clients)
         self.table_groups = TableGroupQueue()
@@ -107,6 +112,7 @@
         self.retry_after = limits.max_retry_after if limits.sends_retry_after else 0.0
         self.listener = Listener(self._on_connection, exhaustion)
         self._executor = executor
+        self._settings = settings
         self._max_unread_bytes = plan.unread_bytes
         self._loop = asyncio.get_running_loop()
         self._eviction_timer: asyncio.TimerHandle | None = None
@@ -185,27 +191,30 @@
         """Decode a call.
 
         Raises:
-            BadRequestError: A field is invalid, or a request with the same id is open.
+            BadRequestError: A field is invalid, or a request with the same id is open or was cancelled.
         """
         request = self.decoder.decode(call)
-        if request.statement.request_id in self.open_request_ids:
+        request_id = request.statement.request_id
+        if request_id in self.open_request_ids:
             raise BadRequestError(f"field '{REQUEST_ID_FIELD}': a request with this id is already open")
+        if self.cancelled_request_ids.contains(request_id, self._loop.time()):
+            raise BadRequestError(f"field '{REQUEST_ID_FIELD}': a request with this id was cancelled")
         return request
 
     def submit(self, request: DecodedRequest, channel: ReplyChannel) -> int:
         """Submit a request to the dispatcher and return the dispatcher's number for it.
 
-        It is submitted once its table group is found and, if it has an ordering key, all input that arrived
-        before it has been read. If this takes too long, it is rejected.
+        It is submitted once its table group is found, all input of its connection is read and, if it has an
+        ordering key, also what arrived before it on others. If this takes too long, it is rejected.
         """
         now = self._loop.time()
         self.request_count += 1
         self.last_request_at = now
         self.open_request_ids.add(request.statement.request_id)
         number = self._executor.add_request(request.statement, channel)
-        submission = Submission(number, request, now)
+        submission = Submission(number, request, channel.client, now)
         if request.ordering_key:
-            self.arrival_order.hold(self._held_request(submission, channel.client))
+            self.arrival_order.hold(self._held_request(submission))
         self.table_groups.find(
             request.statement.body,
             functools.partial(self._is_unanswered, number),
@@ -213,13 +222,13 @@
         )
         return number
 
-    def _held_request(self, submission: Submission, client: ClientConnection) -> HeldRequest:
+    def _held_request(self, submission: Submission) -> HeldRequest:
         return HeldRequest(
             submission.number,
             submission.request.ordering_key,
-            client,
+            submission.client,
             submission.latest_at,
-            lambda: submission.table_group is not None,
+            lambda: submission.table_group is not None and not submission.client.stream.has_unread_input,
             functools.partial(self._submit_added, submission),
             functools.partial(self._reject_added, submission),
         )
@@ -232,16 +241,24 @@
         submission.table_group = table_group
         if submission.request.ordering_key:
             return
-        if self._loop.time() < submission.latest_at:
-            self._submit_added(submission)
-        else:
+        if self._loop.time() >= submission.latest_at:
             self._reject_added(submission)
+            return
+        waiting = WaitingSubmission(
+            submission.latest_at,
+            functools.partial(self._submit_added, submission),
+            functools.partial(self._reject_added, submission),
+        )
+        submission.client.submit_when_read(waiting)
 
     def _reject_added(self, submission: Submission) -> None:
         reason = "the request was not submitted in time"
         self._executor.reject_unsubmitted(submission.number, self.retry_after, reason)
 
     def _submit_added(self, submission: Submission) -> None:
+        """Submit a request, unless its client has left."""
+        if submission.client.close_if_left():
+            return
         request = submission.request
         elapsed = self._loop.time() - submission.received_at
         self._executor.feed(
@@ -266,9 +283,21 @@
             if client.lifecycle.accepts_work and client.has_unprocessed_input
         ]
 
-    def cancel(self, number: int, request_id: bytes) -> None:
-        """Cancel a request whose client no longer waits for the reply."""
+    def is_safe(self, request: DecodedRequest) -> bool:
+        """Return whether a request may be executed more than once."""
+        return self._settings.classes[request.class_index].idempotency is Idempotency.SAFE
+
+    def cancel(self, number: int, request_id: bytes, may_come_again: bool) -> None:
+        """Cancel a request whose client no longer waits for the reply.
+
+        Args:
+            number: The dispatcher's number for the request.
+            request_id: The client's id for the request.
+            may_come_again: Whether a request with this id may be submitted again.
+        """
         self.open_request_ids.discard(request_id)
+        if not may_come_again:
+            self.cancelled_request_ids.add(request_id, self._loop.time())
         self.arrival_order.discard(number)
         self._executor.disconnect_client(number)
 
--- a/saffronlane/platform/managed_connection.py
+++ b/saffronlane/platform/managed_connection.py
@@ -62,6 +62,9 @@
         """Wait until the input received so far is handled, which it is as soon as `receive` returns."""
         return
 
+    def on_input_read(self) -> None:
+        """Process that all input that has arrived was received."""
+
     # --- reading ---
 
     async def _run(self) -> None:
@@ -89,7 +92,9 @@
         """
         read_future = self.stream.read_bytes(self.stream.read_chunk_size, partial=True)
         try:
-            if not self.stream.reading():
+            if self.stream.reading():
+                self.on_input_read()
+            else:
                 # Data was available immediately. Without this pause, a peer that sends continuously would
                 # keep this task running, and the event loop would serve no other connection.
                 await asyncio.sleep(0)
--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import Callable, Sequence
 
 from tornado.iostream import IOStream
 
 READ_CHUNK_BYTES = 65_536
+POLLRDHUP = getattr(select, "POLLRDHUP", 0)  # Linux only; elsewhere a half-close is noticed when it is read
 
 
 class Stream(IOStream):
@@ -135,6 +137,20 @@
         except OSError:
             return b""
 
+    @property
+    def has_peer_closed(self) -> bool:
+        """Whether the peer has closed its side or reset the connection, also if earlier input is unread."""
+        if self.closed():
+            return True
+        poll = select.poll()
+        poll.register(self.socket.fileno(), POLLRDHUP)
+        return bool(poll.poll(0))
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether bytes of the peer, or its end of stream, were not passed to the reader task yet."""
+        return self._read_buffer_size > 0 or self.peek() is not None
+
     @property
     def has_undelivered_data(self) -> bool:
         """Whether bytes were read that the reader task has not received yet."""
--- a/saffronlane/platform/upstream/client.py
+++ b/saffronlane/platform/upstream/client.py
@@ -14,6 +14,9 @@
     def has_unprocessed_input(self) -> bool:
         """Whether the client has sent data or disconnected, and this has not been processed yet."""
 
+    def close_if_left(self) -> bool:
+        """Close the client's connection if the client has closed it; return whether the client has left."""
+
     def on_request_removed(self) -> None:
         """Handle that nothing is kept for the request any more."""
 
--- a/saffronlane/platform/upstream/command_sender.py
+++ b/saffronlane/platform/upstream/command_sender.py
@@ -105,11 +105,12 @@
 
     @staticmethod
     def _may_be_withdrawn(attempt: UpstreamAttempt) -> bool:
-        if attempt.deferral_count >= MAX_DEFERRALS:
-            return False
         # If a request counts as answered while its attempt is queued, its client has disconnected. The
         # dispatcher runs later in this iteration of the event loop and withdraws the attempt.
-        return attempt.request.is_answered or response_sink(attempt.request).has_unprocessed_input
+        sink = response_sink(attempt.request)
+        if attempt.request.is_answered or sink.close_if_left():
+            return True
+        return attempt.deferral_count < MAX_DEFERRALS and sink.has_unprocessed_input
 
     def _requeue_deferred(self) -> None:
         self._queue.requeue_deferred()
--- a/tests/node/test_command_sender.py
+++ b/tests/node/test_command_sender.py
@@ -45,7 +45,7 @@
 
 
 def make_attempt(**changes: Any) -> Any:
-    client = SimpleNamespace(has_unprocessed_input=False)
+    client = SimpleNamespace(has_unprocessed_input=False, close_if_left=lambda: False)
     fields = {
         "may_have_run": False,
         "sent_at": 0.0,
