--- a/saffronlane/platform/server.py
+++ b/saffronlane/platform/server.py
@@ -100,6 +100,7 @@
         self.executor.feed(update)
         for engine in removed_engines:
             self.upstream.remove_engine(engine)
+        self.upstream.leave_former_addresses()
         changed = []
         if not endpoints.is_complete:
             changed = [
--- a/saffronlane/platform/upstream/connection.py
+++ b/saffronlane/platform/upstream/connection.py
@@ -159,6 +159,14 @@
         elif not self.has_pending_work and now > self.idle_since + idle_timeout:
             self.drain("idle")
 
+    def reassign_unsent(self) -> None:
+        """Have the attempts that wait on this connection queued on another one."""
+        for attempt in [attempt for attempt in self.attempts.values() if not attempt.sent_at]:
+            self._sender.withdraw(attempt)
+            del self.attempts[attempt.statement.request_id]
+            self._listener.on_attempt_unsent(attempt)
+        self.settle_if_idle()
+
     def release(self, attempt: UpstreamAttempt) -> None:
         """Remove an attempt that has ended."""
         if self.attempts.pop(attempt.statement.request_id, None) is not None:
--- a/saffronlane/platform/upstream/pool.py
+++ b/saffronlane/platform/upstream/pool.py
@@ -81,9 +81,7 @@
         address = self._address_of(engine)
         if address is None:
             return None
-        for connection in self.connections_of(engine):
-            if connection.address != address:
-                connection.drain("engine address changed")
+        self.drain_former_address(engine)
         max_streams = self.limits.max_streams or DEFAULT_MAX_STREAMS
         candidates = [
             connection
@@ -154,6 +152,14 @@
         for connection in self.connections_of(engine):
             connection.run_isolated(functools.partial(connection.drain, "engine removed"))
 
+    def drain_former_address(self, engine: bytes) -> None:
+        """Drain the connections to another address than the listed one; move the attempts that wait there."""
+        address = self._address_of(engine)
+        for connection in self.connections_of(engine):
+            if connection.address != address and connection.lifecycle.accepts_work:
+                connection.run_isolated(functools.partial(connection.drain, "engine address changed"))
+                connection.run_isolated(connection.reassign_unsent)
+
     def close(self) -> None:
         """Close all connections immediately."""
         self._check_timer.cancel()
--- a/saffronlane/platform/upstream/transport.py
+++ b/saffronlane/platform/upstream/transport.py
@@ -131,6 +131,12 @@
         """Drain the connections to a compute node; they close once its last attempt has ended."""
         self.pool.drain_engine(engine)
 
+    def leave_former_addresses(self) -> None:
+        """Drain the connections to former addresses of compute nodes, where others may listen now."""
+        for engine in list(self.pool.connections_by_engine):
+            if self.pool.is_listed(engine):
+                self.pool.drain_former_address(engine)
+
     def close(self) -> None:
         """Close all connections immediately."""
         self.pool.close()
