A log line is one write, so that the lines of several workers do not mix

Cause: structlog's PrintLogger prints a line and its end, which are two writes where the output is unbuffered. Change: WriteLogger writes both at once.

--- a/saffronlane/logging_setup.py
+++ b/saffronlane/logging_setup.py
@@ -27,6 +27,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        # A line and its end are one write, so that the lines of several processes do not mix.
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
