Move the submission of requests into a module of its own

Need: `DownstreamServer` had grown by what a request waits for before it is submitted. Change: `RequestSubmitter` holds the order of arrival and the searches for table groups; the server keeps connections, ids and limits. A close behind unread input is asked for only where input is unread, a system that does not tell it is no error, and ctypes is imported where a failure of the import only leaves mallopt out.

--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -6,9 +6,7 @@
 import functools
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from ... import dispatch
 from ... import msgpackrpc as rpc
 from ...engines import Executor
 from ...interface import Idempotency, Settings
@@ -18,21 +16,19 @@
 from ..memory_budget import MemoryBudget
 from ..memory_plan import MemoryPlan
 from ..stream import READ_CHUNK_BYTES
-from .arrival_order import ArrivalOrder, HeldRequest
 from .cancelled_requests import CancelledRequestIds
-from .client_connection import ClientConnection, WaitingSubmission
+from .client_connection import ClientConnection
 from .connection_eviction import EvictionOrder
 from .input_scheduler import InputScheduler
 from .listener import Listener
 from .reply_channel import ReplyChannel
 from .request_decoder import REQUEST_ID_FIELD, DecodedRequest, RequestDecoder
-from .table_group_queue import TableGroupQueue
+from .submission import RequestSubmitter
 
 MIN_READ_CHUNK_BYTES = 4_096
 EARLY_EVICTION_RATIO = 0.9  # fraction of the connection limit above which idle connections are evicted early
 SWEEP_INTERVAL = 0.25  # seconds
 EVICTION_RETRY_INTERVAL = 0.02  # seconds
-MAX_HOLD_RATIO = 0.5  # fraction of its timeout after which a request is not submitted any more
 
 
 def _read_chunk_bytes(read_buffer_bytes: float, max_clients: int) -> int:
@@ -41,30 +37,6 @@
     return max(MIN_READ_CHUNK_BYTES, min(chunk_bytes, READ_CHUNK_BYTES))
 
 
-@dataclass(slots=True, eq=False)
-class Submission:
-    """A request that is added to the executor and not submitted to the dispatcher yet.
-
-    Attributes:
-        number: The dispatcher's number for the request.
-        request: The request.
-        client: The connection on which it was received.
-        received_at: The time of the event loop, in seconds, at which it was decoded.
-        table_group: The number of the table group that its statement uses, 0 if none; None if not known yet.
-    """
-
-    number: int
-    request: DecodedRequest
-    client: ClientConnection
-    received_at: float
-    table_group: float | None = None
-
-    @property
-    def latest_at(self) -> float:
-        """The time of the event loop, in seconds, until which it may be submitted."""
-        return self.received_at + MAX_HOLD_RATIO * self.request.timeout
-
-
 class DownstreamServer:
     """Listens for clients and enforces the limits on their connections.
 
@@ -96,8 +68,6 @@
         max_deadline = max((query_class.deadline for query_class in settings.classes), default=0.0)
         self.cancelled_request_ids = CancelledRequestIds(max_age=max_deadline)
         self.input_scheduler = InputScheduler()
-        self.arrival_order = ArrivalOrder(self._unread_clients)
-        self.table_groups = TableGroupQueue()
         self.invalid_message_count = 0
         self.memory_rejection_count = 0
         self.request_count = 0
@@ -110,8 +80,8 @@
         self.read_chunk_bytes = _read_chunk_bytes(plan.read_buffer_bytes, max_clients)
         limits = settings.limits
         self.retry_after = limits.max_retry_after if limits.sends_retry_after else 0.0
+        self.submitter = RequestSubmitter(executor, self.retry_after, self._unread_clients)
         self.listener = Listener(self._on_connection, exhaustion)
-        self._executor = executor
         self._settings = settings
         self._max_unread_bytes = plan.unread_bytes
         self._loop = asyncio.get_running_loop()
@@ -202,77 +172,11 @@
         return request
 
     def submit(self, request: DecodedRequest, channel: ReplyChannel) -> int:
-        """Submit a request to the dispatcher and return the dispatcher's number for it.
-
-        It is submitted once its table group is found, all input of its connection is read and, if it has an
-        ordering key, also what arrived before it on others. If this takes too long, it is rejected.
-        """
-        now = self._loop.time()
+        """Submit a request to the dispatcher and return the dispatcher's number for it."""
         self.request_count += 1
-        self.last_request_at = now
+        self.last_request_at = self._loop.time()
         self.open_request_ids.add(request.statement.request_id)
-        number = self._executor.add_request(request.statement, channel)
-        submission = Submission(number, request, channel.client, now)
-        if request.ordering_key:
-            self.arrival_order.hold(self._held_request(submission))
-        self.table_groups.find(
-            request.statement.body,
-            functools.partial(self._is_unanswered, number),
-            functools.partial(self._on_table_group, submission),
-        )
-        return number
-
-    def _held_request(self, submission: Submission) -> HeldRequest:
-        return HeldRequest(
-            submission.number,
-            submission.request.ordering_key,
-            submission.client,
-            submission.latest_at,
-            lambda: submission.table_group is not None and not submission.client.stream.has_unread_input,
-            functools.partial(self._submit_added, submission),
-            functools.partial(self._reject_added, submission),
-        )
-
-    def _is_unanswered(self, number: int) -> bool:
-        return self._executor.unanswered_request(number) is not None
-
-    def _on_table_group(self, submission: Submission, table_group: float) -> None:
-        """Submit a request whose table group was found, unless its order is not known yet."""
-        submission.table_group = table_group
-        if submission.request.ordering_key:
-            return
-        if self._loop.time() >= submission.latest_at:
-            self._reject_added(submission)
-            return
-        waiting = WaitingSubmission(
-            submission.latest_at,
-            functools.partial(self._submit_added, submission),
-            functools.partial(self._reject_added, submission),
-        )
-        submission.client.submit_when_read(waiting)
-
-    def _reject_added(self, submission: Submission) -> None:
-        reason = "the request was not submitted in time"
-        self._executor.reject_unsubmitted(submission.number, self.retry_after, reason)
-
-    def _submit_added(self, submission: Submission) -> None:
-        """Submit a request, unless its client has left."""
-        if submission.client.close_if_left():
-            return
-        request = submission.request
-        elapsed = self._loop.time() - submission.received_at
-        self._executor.feed(
-            dispatch.Submit(
-                submission.number,
-                request.class_index,
-                request.timeout - elapsed,
-                request.tenant_index,
-                request.ordering_key,
-                request.estimated_work,
-                request.estimated_memory_mb,
-                submission.table_group or 0.0,
-            )
-        )
+        return self.submitter.submit(request, channel)
 
     def _unread_clients(self) -> list[ClientConnection]:
         """Return the connections whose input has not been read, including those that wait to be accepted."""
@@ -298,8 +202,7 @@
         self.open_request_ids.discard(request_id)
         if not may_come_again:
             self.cancelled_request_ids.add(request_id, self._loop.time())
-        self.arrival_order.discard(number)
-        self._executor.disconnect_client(number)
+        self.submitter.cancel(number)
 
     def on_connection_closed(self, client: ClientConnection) -> None:
         """Remove a closed connection."""
--- a/saffronlane/platform/memory_plan.py
+++ b/saffronlane/platform/memory_plan.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ctypes
 import resource
 from dataclasses import dataclass
 from pathlib import Path
@@ -75,8 +74,10 @@
         Whether the C library supports this.
     """
     try:
+        import ctypes  # where the system forbids what it needs, the process runs without it
+
         mallopt = ctypes.CDLL(None).mallopt
-    except (OSError, AttributeError):
+    except (ImportError, OSError, AttributeError, MemoryError):
         return False
     is_set = mallopt(M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES)
     return bool(is_set and mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD_BYTES))
--- a/saffronlane/platform/stats.py
+++ b/saffronlane/platform/stats.py
@@ -73,7 +73,7 @@
             **_dispatcher_stats(self._dispatcher),
         )
         self._upstream.max_send_delay = 0.0
-        self._downstream.arrival_order.max_delay = 0.0
+        self._downstream.submitter.arrival_order.max_delay = 0.0
 
 
 def _downstream_stats(downstream: DownstreamServer) -> dict[str, float]:
@@ -86,7 +86,7 @@
         "accepted": downstream.accepted_count,
         "evicted": downstream.evicted_count,
         "pauses": downstream.listener.pause_count,
-        "order_delay_ms": round(downstream.arrival_order.max_delay * MS_PER_SECOND, 1),
+        "order_delay_ms": round(downstream.submitter.arrival_order.max_delay * MS_PER_SECOND, 1),
     }
 
 
--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -140,11 +140,18 @@
     @property
     def has_peer_closed(self) -> bool:
         """Whether the peer has closed its side or reset the connection, also if earlier input is unread."""
-        if self.closed():
-            return True
+        first_byte = self.peek()
+        if first_byte is None:
+            return False
+        return not first_byte or self._is_closed_behind_input()
+
+    def _is_closed_behind_input(self) -> bool:
         poll = select.poll()
         poll.register(self.socket.fileno(), POLLRDHUP)
-        return bool(poll.poll(0))
+        try:
+            return bool(poll.poll(0))
+        except OSError:  # the system does not tell it, so that it is noticed when the input has been read
+            return False
 
     @property
     def has_unread_input(self) -> bool:
--- a/tests/node/test_arrival_order.py
+++ b/tests/node/test_arrival_order.py
@@ -7,7 +7,7 @@
 import pytest
 from platform_world import Harness
 
-from saffronlane.platform.downstream import input_scheduler, server
+from saffronlane.platform.downstream import input_scheduler, submission
 from saffronlane.platform.stream import READ_CHUNK_BYTES
 
 from .support import SyncClient, encode_call, never_answer, request_id, run_with_harness
@@ -159,7 +159,7 @@
 
     async def scenario(harness: Harness) -> None:
         use_small_chunks(harness)
-        monkeypatch.setattr(server, "MAX_HOLD_RATIO", 0.0)
+        monkeypatch.setattr(submission, "MAX_HOLD_RATIO", 0.0)
         (long_client,) = await open_connections(harness, 1)
         client = await harness.client()
         await harness.wait_until(lambda: len(harness.server.downstream.clients) == 2)
@@ -184,7 +184,7 @@
         clients[2].send(load(3))
         await wait_until_executed(harness, 2)
         assert executed(harness) == ids(1, 3)
-        assert not len(harness.server.downstream.arrival_order)
+        assert not len(harness.server.downstream.submitter.arrival_order)
         for client in clients:
             client.close()
 
