A request that ends while it is submitted is answered

Found on reading: a request could be rejected for being late, or its connection found closed, before the connection had put it among its open requests; it then got no answer, and was kept for good. Change: a request is added and put among the open ones before it is submitted.

--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -281,11 +281,12 @@
             return
         request_id = request.statement.request_id
         self.memory.add(held_bytes)
-        number = self.server.submit(request, ReplyChannel(self, call.id, request_id, held_bytes))
+        submission = self.server.add_request(request, ReplyChannel(self, call.id, request_id, held_bytes))
         is_safe = self.server.is_safe(request)
-        self.open_requests[call.id] = OpenRequest(number, request_id, is_safe)
+        self.open_requests[call.id] = OpenRequest(submission.number, request_id, is_safe)
         self.request_count += 1
         self.server.eviction.mark_busy(self)
+        self.server.submit(submission)
 
     def _on_discarded_message(self, message: rpc.DiscardedMessage) -> None:
         """Reject a call whose bytes were not kept."""
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -23,7 +23,7 @@
 from .listener import Listener
 from .reply_channel import ReplyChannel
 from .request_decoder import REQUEST_ID_FIELD, DecodedRequest, RequestDecoder
-from .submission import RequestSubmitter
+from .submission import RequestSubmitter, Submission
 
 MIN_READ_CHUNK_BYTES = 4_096
 EARLY_EVICTION_RATIO = 0.9  # fraction of the connection limit above which idle connections are evicted early
@@ -171,12 +171,16 @@
             raise BadRequestError(f"field '{REQUEST_ID_FIELD}': a request with this id was cancelled")
         return request
 
-    def submit(self, request: DecodedRequest, channel: ReplyChannel) -> int:
-        """Submit a request to the dispatcher and return the dispatcher's number for it."""
+    def add_request(self, request: DecodedRequest, channel: ReplyChannel) -> Submission:
+        """Add a request, which `submit` then submits to the dispatcher."""
         self.request_count += 1
         self.last_request_at = self._loop.time()
         self.open_request_ids.add(request.statement.request_id)
-        return self.submitter.submit(request, channel)
+        return self.submitter.add(request, channel)
+
+    def submit(self, submission: Submission) -> None:
+        """Submit a request. It may be answered, or its connection closed, before this returns."""
+        self.submitter.submit(submission)
 
     def _unread_clients(self) -> list[ClientConnection]:
         """Return the connections whose input has not been read, including those that wait to be accepted."""
--- a/saffronlane/platform/downstream/submission.py
+++ b/saffronlane/platform/downstream/submission.py
@@ -72,18 +72,21 @@
         self._retry_after = retry_after
         self._loop = asyncio.get_running_loop()
 
-    def submit(self, request: DecodedRequest, channel: ReplyChannel) -> int:
-        """Add a request to the executor, submit it when it is ready, and return its number."""
+    def add(self, request: DecodedRequest, channel: ReplyChannel) -> Submission:
+        """Add a request to the executor."""
         number = self._executor.add_request(request.statement, channel)
-        submission = Submission(number, request, channel.client, self._loop.time())
+        return Submission(number, request, channel.client, self._loop.time())
+
+    def submit(self, submission: Submission) -> None:
+        """Submit a request when it is ready. It may be answered, or its connection closed, before that."""
+        request = submission.request
         if request.ordering_key:
             self.arrival_order.hold(self._held_request(submission))
         self._table_groups.find(
             request.statement.body,
-            functools.partial(self._is_unanswered, number),
+            functools.partial(self._is_unanswered, submission.number),
             functools.partial(self._on_table_group, submission),
         )
-        return number
 
     def cancel(self, number: int) -> None:
         """Abandon a request whose client no longer waits for the answer."""
--- a/tests/node/test_leaving_clients.py
+++ b/tests/node/test_leaving_clients.py
@@ -12,6 +12,7 @@
 import pytest
 from platform_world import SETTINGS, ComputeNodeConnection, Harness, answer_fetches
 
+from saffronlane.platform.downstream import submission
 from saffronlane.platform.downstream.cancelled_requests import MAX_IDS, CancelledRequestIds
 from saffronlane.platform.downstream.client_connection import MAX_OPEN_REQUESTS
 from saffronlane.platform.stream import Stream
@@ -188,3 +189,29 @@
         assert not [delay for delay in late if delay > LATEST_BEGIN]
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("ending", ["reject", "close"])
+def test_a_request_that_ends_while_it_is_submitted_is_answered_or_dropped(
+    monkeypatch: pytest.MonkeyPatch, ending: str
+) -> None:
+    """Guards against a request that is never answered, since it ended before its connection knew it."""
+
+    async def scenario(harness: Harness) -> None:
+        client = await harness.client()
+        await harness.wait_until(lambda: harness.server.downstream.clients)
+        (connection,) = harness.server.downstream.clients
+        if ending == "reject":
+            monkeypatch.setattr(submission, "MAX_HOLD_RATIO", 0.0)
+        else:
+            monkeypatch.setattr(Stream, "has_unread_input", False)
+            monkeypatch.setattr(Stream, "has_peer_closed", True)
+        message_id = client.call("ask", request_id(1))
+        if ending == "reject":
+            assert (await client.read_answer(message_id))[0] == ["Shed", {"backoff": "500"}]
+        else:
+            assert await client.wait_closed()
+        await harness.wait_until(lambda: not any(harness.table_sizes().values()))
+        assert not connection.open_requests
+
+    run_with_harness(scenario)
