One object for a request that waits, and one way to reject it

A request that waits to be submitted had three forms (`Submission`, `HeldRequest` with its callbacks, `WaitingSubmission`); the executor rejected it by a copy of the effect runner's code; a selection checked for former addresses, which the event that changes them already leaves; the policy's restart handled timers that a new policy cannot cancel; the test's plain form of group EDF copied the beginning of a pass. Change: `Submission` submits and rejects itself; the executor runs a `RejectRequest`; the checks that had nothing to do are gone; the plain form replaces `_start_requests` alone.

--- a/saffronlane/dispatch/core.py
+++ b/saffronlane/dispatch/core.py
@@ -184,5 +184,5 @@
             self._requests.release(request)
         self._timers.clear()
         for action in self._policy.restart(self._now, self._engines):
-            if isinstance(action, api.SetTimer | api.CancelTimer):
+            if isinstance(action, api.SetTimer):
                 self._actions.handle(action)
--- a/saffronlane/engines/executor.py
+++ b/saffronlane/engines/executor.py
@@ -97,11 +97,7 @@
             retry_after: Seconds after which the client may retry, or 0 to send no delay.
             reason: Why the request was rejected.
         """
-        request = self._requests.get_unanswered(number)
-        if request is not None:
-            self._requests.mark_answered(request)
-            self.transport.reject(request, retry_after, reason)
-            self._requests.remove_if_ended(request)
+        self._effect_runner.run([dispatch.RejectRequest(number, retry_after, reason)])
 
     def unanswered_request(self, number: int) -> Request | None:
         """Return a request, or None if it has been answered or is unknown."""
--- a/saffronlane/platform/downstream/arrival_order.py
+++ b/saffronlane/platform/downstream/arrival_order.py
@@ -12,44 +12,31 @@
 import bisect
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from .message_reader import MAX_MESSAGE_BYTES
 
 if TYPE_CHECKING:
     from .client_connection import ClientConnection
+    from .submission import Submission
 
 # A connection that never runs out of input has been read far enough after these bytes: the message in which
 # its input ended, and as much before it.
 MAX_CATCH_UP_BYTES = 2 * MAX_MESSAGE_BYTES
 
 
-@dataclass(slots=True, eq=False)
-class HeldRequest:
+class _HeldRequest(NamedTuple):
     """A request that waits for what arrived before it.
 
     Attributes:
-        number: The dispatcher's number for the request.
-        ordering_key: The key of the order.
-        client: The connection on which it was received.
-        expires_at: The time of the event loop, in seconds, until which it may be held.
-        is_ready: Returns whether it may be submitted as far as it does not depend on other input.
-        submit: Submits the request to the dispatcher.
-        reject: Rejects the request, which was not submitted.
+        submission: The request.
         scan: The number of the scan whose connections have to be read first.
         position: Sorts the held requests of a key.
     """
 
-    number: int
-    ordering_key: int
-    client: ClientConnection
-    expires_at: float
-    is_ready: Callable[[], bool]
-    submit: Callable[[], None]
-    reject: Callable[[], None]
-    scan: int = 0
-    position: tuple[int, int, int] = (0, 0, 0)
+    submission: Submission
+    scan: int
+    position: tuple[int, int, int]
 
 
 class ArrivalOrder:
@@ -66,45 +53,41 @@
     def __init__(self, find_unread: Callable[[], Iterable[ClientConnection]]) -> None:
         self._find_unread = find_unread
         self._loop = asyncio.get_running_loop()
-        self._held: dict[int, HeldRequest] = {}  # by number
-        self._by_key: dict[int, list[HeldRequest]] = {}  # sorted by position
+        self._held: dict[int, _HeldRequest] = {}  # by the dispatcher's number
+        self._by_key: dict[int, list[_HeldRequest]] = {}  # sorted by position
         self._scan_count = 0
         self._needs_scan = False
         # For each connection that is behind: the scans that found unread input, and its offset at that time.
         self._behind: dict[ClientConnection, deque[tuple[int, int]]] = {}
         self._next_check: asyncio.Handle | None = None
         self.max_delay = 0.0  # seconds for which a request was held, since the last report
-        self._held_since: dict[int, float] = {}
 
     def __len__(self) -> int:
         """The number of requests that are held."""
         return len(self._held)
 
-    def hold(self, request: HeldRequest) -> None:
+    def hold(self, submission: Submission) -> None:
         """Hold a new request."""
         self._needs_scan = True
-        request.scan = self._scan_count + 1
-        request.position = self._position(request)
-        self._held[request.number] = request
-        self._held_since[request.number] = self._loop.time()
-        bisect.insort(
-            self._by_key.setdefault(request.ordering_key, []), request, key=lambda held: held.position
-        )
+        same_key = self._by_key.setdefault(submission.request.ordering_key, [])
+        request = _HeldRequest(submission, self._scan_count + 1, self._position(submission, same_key))
+        self._held[submission.number] = request
+        bisect.insort(same_key, request, key=lambda held: held.position)
         if self._next_check is None:
             self._next_check = self._loop.call_soon(self._check)
 
-    def _position(self, request: HeldRequest) -> tuple[int, int, int]:
+    def _position(self, submission: Submission, same_key: list[_HeldRequest]) -> tuple[int, int, int]:
         """Return a new request's position among the held requests of its key.
 
         A request from a connection that is behind may have arrived before the requests that wait for this
         connection, so it precedes them. Requests of one connection keep their order.
         """
-        scans = self._behind.get(request.client)
-        scan, precedence = (scans[0][0], 0) if scans else (request.scan, 1)
-        same_key = self._by_key.get(request.ordering_key, [])
-        same_connection = [held.position[:2] for held in same_key if held.client is request.client]
+        client = submission.client
+        scans = self._behind.get(client)
+        scan, precedence = (scans[0][0], 0) if scans else (self._scan_count + 1, 1)
+        same_connection = [held.position[:2] for held in same_key if held.submission.client is client]
         scan, precedence = max([(scan, precedence), *same_connection[-1:]])
-        return scan, precedence, request.number
+        return scan, precedence, submission.number
 
     def discard(self, number: int) -> None:
         """Hold a request no longer, since its client does not wait for it."""
@@ -112,14 +95,14 @@
         if request is not None:
             self._remove(request)
 
-    def _remove(self, request: HeldRequest) -> None:
-        del self._held[request.number]
-        held_since = self._held_since.pop(request.number)
-        self.max_delay = max(self.max_delay, self._loop.time() - held_since)
-        same_key = self._by_key[request.ordering_key]
-        same_key.remove(request)
-        if not same_key:
-            del self._by_key[request.ordering_key]
+    def _remove(self, request: _HeldRequest) -> None:
+        submission = request.submission
+        del self._held[submission.number]
+        self.max_delay = max(self.max_delay, self._loop.time() - submission.received_at)
+        ordering_key = submission.request.ordering_key
+        self._by_key[ordering_key].remove(request)
+        if not self._by_key[ordering_key]:
+            del self._by_key[ordering_key]
 
     def _check(self) -> None:
         """Scan if there are new requests, and release those that have nothing to wait for."""
@@ -145,17 +128,17 @@
         for client, scans in list(self._behind.items()):
             while scans and client.received_bytes >= scans[0][1] + MAX_CATCH_UP_BYTES:
                 scans.popleft()
-            if not (scans and client.lifecycle.accepts_work and client.has_unprocessed_input):
+            if not (scans and client.may_have_unread_requests):
                 del self._behind[client]
 
     def _release(self, first_open_scan: int) -> None:
         """Submit the requests of the scans before the given one, and reject those that waited too long."""
         now = self._loop.time()
         for same_key in list(self._by_key.values()):
-            while same_key and same_key[0].scan < first_open_scan and same_key[0].is_ready():
+            while same_key and same_key[0].scan < first_open_scan and same_key[0].submission.is_ready:
                 request = same_key[0]
                 self._remove(request)
-                request.submit()
-            for request in [held for held in same_key if now >= held.expires_at]:
+                request.submission.submit()
+            for request in [held for held in same_key if now >= held.submission.latest_at]:
                 self._remove(request)
-                request.reject()
+                request.submission.reject()
--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
@@ -22,6 +21,7 @@
 
 if TYPE_CHECKING:
     from .server import DownstreamServer
+    from .submission import Submission
 
 log = structlog.get_logger()
 
@@ -54,20 +54,6 @@
     is_safe: bool
 
 
-class WaitingSubmission(NamedTuple):
-    """A request that is submitted once all input of its connection was read.
-
-    Attributes:
-        latest_at: The time of the event loop, in seconds, at which it is rejected instead.
-        submit: Submits the request to the dispatcher.
-        reject: Rejects the request, which was not submitted.
-    """
-
-    latest_at: float
-    submit: Callable[[], None]
-    reject: Callable[[], None]
-
-
 class ClientConnection(ManagedConnection):
     """Reads a client's requests and writes its replies.
 
@@ -97,7 +83,7 @@
         self.reader = MessageReader(self.memory, now)
         self.received_bytes = 0
         self._backlog = MessageBacklog(self.memory)
-        self._waiting_submissions: list[WaitingSubmission] = []
+        self._waiting_submissions: list[Submission] = []
         self._reading_resumed: asyncio.Future[None] | None = None
         self._input_error: rpc.ScanError | None = None  # in the bytes after the messages of the backlog
         self._can_parse_input = True
@@ -124,20 +110,21 @@
 
     def _within_memory(self, message: Message) -> Message:
         """Return a message that has to wait, or only its head if there is no memory for it."""
-        is_large = len(message) > SMALL_MESSAGE_BYTES
-        if isinstance(message, bytes) and is_large and not self.memory.admits(len(message)):
-            return rpc.DiscardedMessage(message[: rpc.HEAD_BYTES])
-        return message
+        if isinstance(message, rpc.DiscardedMessage) or len(message) <= SMALL_MESSAGE_BYTES:
+            return message
+        if self.memory.admits(len(message)):
+            return message
+        return rpc.DiscardedMessage(message[: rpc.HEAD_BYTES])
 
-    def submit_when_read(self, waiting: WaitingSubmission) -> None:
+    def submit_when_read(self, submission: Submission) -> None:
         """Submit a request once all input that has arrived was read.
 
         The client may have left, and the end of the connection is behind this input.
         """
         if self.stream.has_unread_input:
-            self._waiting_submissions.append(waiting)
+            self._waiting_submissions.append(submission)
         else:
-            waiting.submit()
+            submission.submit()
 
     def on_input_read(self) -> None:
         """Submit the requests that waited for this."""
@@ -232,6 +219,11 @@
         """Whether messages wait to be handled, or input has arrived that is not processed yet."""
         return bool(self._backlog) or super().has_unprocessed_input
 
+    @property
+    def may_have_unread_requests(self) -> bool:
+        """Whether input that may contain requests is not processed yet."""
+        return self.lifecycle.accepts_work and self.has_unprocessed_input
+
     def _on_message(self, data: Message) -> None:
         if isinstance(data, rpc.DiscardedMessage):
             self._on_discarded_message(data)
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -185,11 +185,7 @@
     def _unread_clients(self) -> list[ClientConnection]:
         """Return the connections whose input has not been read, including those that wait to be accepted."""
         self.listener.accept_pending()
-        return [
-            client
-            for client in self.clients
-            if client.lifecycle.accepts_work and client.has_unprocessed_input
-        ]
+        return [client for client in self.clients if client.may_have_unread_requests]
 
     def is_safe(self, request: DecodedRequest) -> bool:
         """Return whether a request may be executed more than once."""
--- a/saffronlane/platform/downstream/submission.py
+++ b/saffronlane/platform/downstream/submission.py
@@ -9,8 +9,8 @@
 
 from ... import dispatch
 from ...engines import Executor
-from .arrival_order import ArrivalOrder, HeldRequest
-from .client_connection import ClientConnection, WaitingSubmission
+from .arrival_order import ArrivalOrder
+from .client_connection import ClientConnection
 from .reply_channel import ReplyChannel
 from .request_decoder import DecodedRequest
 from .table_group_queue import TableGroupQueue
@@ -26,6 +26,8 @@
         number: The dispatcher's number for the request.
         request: The request.
         client: The connection on which it was received.
+        executor: The executor to which it is submitted.
+        retry_after: Seconds after which the client may retry if it is rejected, or 0 to send no delay.
         received_at: The time of the event loop, in seconds, at which it was decoded.
         table_group: The number of the table group that its statement uses, 0 if none; None if not known yet.
     """
@@ -33,6 +35,8 @@
     number: int
     request: DecodedRequest
     client: ClientConnection
+    executor: Executor
+    retry_after: float
     received_at: float
     table_group: float | None = None
 
@@ -46,6 +50,35 @@
         """Whether its table group is known and all input of its connection was read."""
         return self.table_group is not None and not self.client.stream.has_unread_input
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether its client still waits for the answer."""
+        return self.executor.unanswered_request(self.number) is not None
+
+    def submit(self) -> None:
+        """Submit the request with the timeout that remains, unless its client has left."""
+        if self.client.close_if_left():
+            return
+        request = self.request
+        elapsed = self.client.loop.time() - self.received_at
+        self.executor.feed(
+            dispatch.Submit(
+                self.number,
+                request.class_index,
+                request.timeout - elapsed,
+                request.tenant_index,
+                request.ordering_key,
+                request.estimated_work,
+                request.estimated_memory_mb,
+                self.table_group or 0.0,
+            )
+        )
+
+    def reject(self) -> None:
+        """Reject the request, which never ran."""
+        reason = "the request was not submitted in time"
+        self.executor.reject_unsubmitted(self.number, self.retry_after, reason)
+
 
 class RequestSubmitter:
     """Submits a request once its table group is found and all input of its connection was read.
@@ -75,16 +108,17 @@
     def add(self, request: DecodedRequest, channel: ReplyChannel) -> Submission:
         """Add a request to the executor."""
         number = self._executor.add_request(request.statement, channel)
-        return Submission(number, request, channel.client, self._loop.time())
+        return Submission(
+            number, request, channel.client, self._executor, self._retry_after, self._loop.time()
+        )
 
     def submit(self, submission: Submission) -> None:
         """Submit a request when it is ready. It may be answered, or its connection closed, before that."""
-        request = submission.request
-        if request.ordering_key:
-            self.arrival_order.hold(self._held_request(submission))
+        if submission.request.ordering_key:
+            self.arrival_order.hold(submission)
         self._table_groups.find(
-            request.statement.body,
-            functools.partial(self._is_unanswered, submission.number),
+            submission.request.statement.body,
+            lambda: submission.is_wanted,
             functools.partial(self._on_table_group, submission),
         )
 
@@ -93,51 +127,12 @@
         self.arrival_order.discard(number)
         self._executor.disconnect_client(number)
 
-    def _held_request(self, submission: Submission) -> HeldRequest:
-        return HeldRequest(
-            submission.number,
-            submission.request.ordering_key,
-            submission.client,
-            submission.latest_at,
-            lambda: submission.is_ready,
-            functools.partial(self._submit_now, submission),
-            functools.partial(self._reject, submission),
-        )
-
-    def _is_unanswered(self, number: int) -> bool:
-        return self._executor.unanswered_request(number) is not None
-
     def _on_table_group(self, submission: Submission, table_group: float) -> None:
         """Submit a request whose table group was found; `arrival_order` submits it if it has a key."""
         submission.table_group = table_group
         if submission.request.ordering_key:
             return
         if self._loop.time() >= submission.latest_at:
-            self._reject(submission)
-            return
-        submit = functools.partial(self._submit_now, submission)
-        reject = functools.partial(self._reject, submission)
-        submission.client.submit_when_read(WaitingSubmission(submission.latest_at, submit, reject))
-
-    def _reject(self, submission: Submission) -> None:
-        reason = "the request was not submitted in time"
-        self._executor.reject_unsubmitted(submission.number, self._retry_after, reason)
-
-    def _submit_now(self, submission: Submission) -> None:
-        """Submit a request with the timeout that remains, unless its client has left."""
-        if submission.client.close_if_left():
-            return
-        request = submission.request
-        elapsed = self._loop.time() - submission.received_at
-        self._executor.feed(
-            dispatch.Submit(
-                submission.number,
-                request.class_index,
-                request.timeout - elapsed,
-                request.tenant_index,
-                request.ordering_key,
-                request.estimated_work,
-                request.estimated_memory_mb,
-                submission.table_group or 0.0,
-            )
-        )
+            submission.reject()
+        else:
+            submission.client.submit_when_read(submission)
--- a/saffronlane/platform/upstream/pool.py
+++ b/saffronlane/platform/upstream/pool.py
@@ -81,7 +81,6 @@
         address = self._address_of(engine)
         if address is None:
             return None
-        self.drain_former_address(engine)
         max_streams = self.limits.max_streams or DEFAULT_MAX_STREAMS
         candidates = [
             connection
--- a/saffronlane/policy/scheduling/group_edf.py
+++ b/saffronlane/policy/scheduling/group_edf.py
@@ -60,6 +60,9 @@
         self.concurrency_limit.is_blocked = False
         self.engine_selector.peer_load.expire(now)
         self.pending.ordering.expire_cooldowns(now)
+        self._start_requests()
+
+    def _start_requests(self) -> None:
         groups = EdfGroups(self._releasable_requests(), self.workload_estimates.exec_time)
         while (request := groups.pop()) is not None:
             engine = self.engine_selector.select(request)
--- a/tests/test_group_edf.py
+++ b/tests/test_group_edf.py
@@ -15,7 +15,7 @@
 from saffronlane.policy.estimation.run_time_estimator import RunTimeEstimator
 from saffronlane.policy.execution.completion import TIMER_TOLERANCE
 from saffronlane.policy.scheduling.edf_groups import GROUP_RANGE_RATIO, EdfGroups
-from saffronlane.policy.scheduling.group_edf import EXPIRY_CHECK_INTERVAL, GroupEdfScheduler
+from saffronlane.policy.scheduling.group_edf import GroupEdfScheduler
 from saffronlane.state import Request
 
 STEPS = 120
@@ -48,14 +48,7 @@
 class PlainScheduler(GroupEdfScheduler):
     """Group EDF in its plain form, which looks at all waiting requests for each one that it starts."""
 
-    def release(self) -> None:
-        now = self.step_context.now
-        if now >= self.next_expiry_check_at:
-            self.next_expiry_check_at = now + EXPIRY_CHECK_INTERVAL
-            self._finish_expired()
-        self.concurrency_limit.is_blocked = False
-        self.engine_selector.peer_load.expire(now)
-        self.pending.ordering.expire_cooldowns(now)
+    def _start_requests(self) -> None:
         waiting = self._all_releasable()
         while waiting:
             request = next_request(waiting, self.workload_estimates.exec_time)
