The node's tests share the reading of a process's memory and the large nodes

Need: three test files read the memory of a process in the same way, and three had the same settings of large nodes. Change: `process_memory_mb` and `SETTINGS_WITH_LARGE_NODES` stand in tests/node/support.py. No assertion changed.

--- a/tests/node/support.py
+++ b/tests/node/support.py
@@ -18,6 +18,7 @@
 import msgspec
 import pytest
 from platform_world import (
+    SETTINGS,
     Client,
     ComputeNode,
     ComputeNodeConnection,
@@ -36,12 +37,30 @@
 
 REQUEST_ID = "9b1f03aa5c7e2d41"
 SMALL_BUFFER_BYTES = 8_192
+KIB = 1.024  # KB
+KB_PER_MB = 1000.0
+# Compute nodes so large that the policy rejects nothing for lack of cores or memory.
+SETTINGS_WITH_LARGE_NODES = SETTINGS | {
+    "extra": SETTINGS["extra"] | {"kindCores": [1000], "sizeMb": [1_000_000]}
+}
 
 
 def request_id(n: int) -> str:
     return f"{n:016x}"
 
 
+def process_memory_mb(process_id: int, figure: str = "RssAnon") -> float:
+    """Return the memory of a process in MB, as the system counts it.
+
+    Args:
+        process_id: The id of the process.
+        figure: RssAnon, the memory without the files that it maps, or VmHWM, its highest resident memory.
+    """
+    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
+    (size,) = (line.split()[1] for line in lines if line.startswith(f"{figure}:"))
+    return int(size) * KIB / KB_PER_MB
+
+
 def run_with_harness(
     scenario: Callable[[Harness], Awaitable[None]], *scripts: Script, **config_changes: Any
 ) -> None:
--- a/tests/node/test_bursts.py
+++ b/tests/node/test_bursts.py
@@ -14,19 +14,23 @@
 
 import msgspec
 import pytest
-from platform_world import SETTINGS, Client, ComputeNodeConnection
+from platform_world import Client, ComputeNodeConnection
 
 from saffronlane.platform.downstream.client_connection import MAX_OPEN_REQUESTS
 
-from .support import ServerProcess, encode_call, request_id, server_process
+from .support import (
+    SETTINGS_WITH_LARGE_NODES,
+    ServerProcess,
+    encode_call,
+    process_memory_mb,
+    request_id,
+    server_process,
+)
 
 BURST_CLIENTS = 150
 BUDGET = 1.0  # seconds
 USUAL_REQUESTS = 30
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 512}
-# So large that the policy starts all requests of a burst.
-LARGE_NODES = {"kindCores": [1000], "sizeMb": [1_000_000]}
-SETTINGS_WITH_LARGE_NODES = SETTINGS | {"extra": SETTINGS["extra"] | LARGE_NODES}
 
 
 async def answer_after_20_ms(connection: ComputeNodeConnection, command: list[bytes]) -> None:
@@ -135,12 +139,6 @@
                         block = block[connection.send(block) :]
 
 
-def private_memory_mb(process_id: int) -> float:
-    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
-    (size,) = (line.split()[1] for line in lines if line.startswith("RssAnon:"))
-    return int(size) * 1.024 / 1000.0
-
-
 @pytest.mark.parametrize(
     "make_block",
     [health_checks, calls_taken_back, unknown_notifications, unknown_classes, long_statements],
@@ -156,7 +154,7 @@
         async with server_process(tmp_path, *scripts, **changes) as server:
             usual = await server.client()
             await ask(usual, 0)
-            before = private_memory_mb(server.process.pid)
+            before = process_memory_mb(server.process.pid)
             floods = [
                 asyncio.ensure_future(asyncio.to_thread(flood, server.port, make_block))
                 for _ in range(FLOOD_CONNECTIONS)
@@ -165,7 +163,7 @@
             memory = []
             while not all(task.done() for task in floods):
                 latencies.append(await ask(usual, len(latencies) + 1))
-                memory.append(private_memory_mb(server.process.pid))
+                memory.append(process_memory_mb(server.process.pid))
             await asyncio.gather(*floods)
             assert max(latencies) < BUDGET
             assert max(memory) - before < MAX_GROWTH_MB + STATEMENTS_MB * (make_block is long_statements)
--- a/tests/node/test_hostile_clients.py
+++ b/tests/node/test_hostile_clients.py
@@ -12,29 +12,26 @@
 
 import msgspec
 import pytest
-from platform_world import SETTINGS, ComputeNodeConnection, Harness
+from platform_world import ComputeNodeConnection, Harness
 
 from saffronlane.platform.downstream import server as downstream_server
 from saffronlane.platform.downstream.client_connection import ClientConnection
 from saffronlane.platform.memory_plan import plan_memory
 
 from .support import (
+    SETTINGS_WITH_LARGE_NODES,
     SyncClient,
     encode_call,
     on_first_request,
+    process_memory_mb,
     request_id,
     run_with_harness,
     server_process,
 )
 
-KIB = 1.024  # KB
-KB_PER_MB = 1000.0
 CLIENTS = 400
 SECONDS = 5.0
 STATEMENT_BYTES = 250_000
-# So large that the policy rejects nothing for lack of cores or memory.
-LARGE_NODES = {"kindCores": [1000], "sizeMb": [1_000_000]}
-SETTINGS_WITH_LARGE_NODES = SETTINGS | {"extra": SETTINGS["extra"] | LARGE_NODES}
 # Limits of two days on which processes were killed, and the least memory with the most descriptors. There,
 # only private memory counts, since the files that Python maps take the rest.
 DAY_1 = {"cores": 1.0, "memory_mb": 128, "sockets": 1024}
@@ -42,13 +39,6 @@
 LEAST = {"cores": 1.0, "memory_mb": 32, "sockets": 1024}
 
 
-def memory_mb(process_id: int, name: str) -> float:
-    """Return a figure of a process from the system: VmHWM, its highest resident memory, or RssAnon."""
-    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
-    (size,) = (line.split()[1] for line in lines if line.startswith(f"{name}:"))
-    return int(size) * KIB / KB_PER_MB
-
-
 def long_call(message_id: int = 1) -> bytes:
     body = b"SELECT '" + b"x" * STATEMENT_BYTES + b"'"
     return encode_call(message_id, body=body, rid=os.urandom(8).hex())
@@ -125,7 +115,7 @@
             clients = [asyncio.ensure_future(come_again(server.port, send, until)) for _ in range(CLIENTS)]
             highest = 0.0
             while time.monotonic() < until:
-                highest = max(highest, memory_mb(server.process.pid, figure))
+                highest = max(highest, process_memory_mb(server.process.pid, figure))
                 await asyncio.sleep(0.02)
             await asyncio.gather(*clients)
             assert highest < limits["memory_mb"]
--- a/tests/node/test_leaving_clients.py
+++ b/tests/node/test_leaving_clients.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from platform_world import SETTINGS, ComputeNodeConnection, Harness, answer_fetches
+from platform_world import ComputeNodeConnection, Harness, answer_fetches
 
 from saffronlane.platform.downstream import submission
 from saffronlane.platform.downstream.cancelled_requests import MAX_IDS, CancelledRequestIds
@@ -18,6 +18,7 @@
 from saffronlane.platform.stream import Stream
 
 from .support import (
+    SETTINGS_WITH_LARGE_NODES,
     SyncClient,
     encode_call,
     hold_fetches,
@@ -32,8 +33,6 @@
 CLIENTS = 60
 # An attempt that begins later than this after its client has left breaks a rule; 50 ms longer on sockets.
 LATEST_BEGIN = 0.1 + 0.05
-LARGE_NODES = {"kindCores": [1000], "sizeMb": [1_000_000]}
-SETTINGS_WITH_LARGE_NODES = SETTINGS | {"extra": SETTINGS["extra"] | LARGE_NODES}
 
 
 def calls(first: int, body: bytes = BODY, method: str = "ask") -> bytes:
--- a/tests/node/test_memory_limits.py
+++ b/tests/node/test_memory_limits.py
@@ -18,6 +18,7 @@
     ServerProcess,
     encode_call,
     never_answer,
+    process_memory_mb,
     request_id,
     run_with_harness,
     server_process,
@@ -31,10 +32,8 @@
 BAD_CLIENTS = 30
 REQUESTS_EACH = 40
 LONG_STATEMENT = b"SELECT '" + b"x" * 240_000 + b"'"
-KB_PER_MB = 1000.0
 ROUNDS = 300  # in which 9,600 loads are taken back
 MAX_GROWTH_MB = 3.0  # about 300 bytes for each of these loads
-KIB = 1.024  # KB
 
 
 async def run_long_statements(connection: ComputeNodeConnection, command: list[bytes]) -> None:
@@ -44,13 +43,6 @@
         asyncio.get_running_loop().call_later(delay, connection.send_result, command[1])
 
 
-def private_memory_mb(process_id: int) -> float:
-    """Return the memory of a process without the files that it maps."""
-    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
-    (resident,) = (line.split()[1] for line in lines if line.startswith("RssAnon:"))
-    return int(resident) * KIB / KB_PER_MB
-
-
 async def send_long_statements(server: ServerProcess, client_number: int) -> None:
     """Send many valid requests at once and read all answers, until the test ends."""
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
@@ -66,7 +58,7 @@
     """Return the highest memory of the server in MB until the task has ended."""
     highest = 0.0
     while not task.done():
-        highest = max(highest, private_memory_mb(server.process.pid))
+        highest = max(highest, process_memory_mb(server.process.pid))
         await asyncio.sleep(0.01)
     return highest
 
@@ -225,11 +217,11 @@
             client = await server.client()
             for _ in range(20):
                 await take_loads_back(client)
-            before = private_memory_mb(server.process.pid)
+            before = process_memory_mb(server.process.pid)
             for _ in range(ROUNDS):
                 await take_loads_back(client)
             await asyncio.sleep(0.2)
-            assert private_memory_mb(server.process.pid) < before + MAX_GROWTH_MB
+            assert process_memory_mb(server.process.pid) < before + MAX_GROWTH_MB
             client.close()
 
     asyncio.run(scenario())
