--- a/saffronlane/interface/settings.py
+++ b/saffronlane/interface/settings.py
@@ -15,7 +15,7 @@
         name: Name of the class, unique within the settings.
         latency_objective: Fixed part of the latency objective, which is
             `latency_objective + latency_objective_per_work x work / threads`.
-        deadline: Time from arrival after which the client no longer needs an answer.
+        deadline: Time for which a client waits, over all its tries of a query.
         priority_weight: Value of an answer within the latency objective.
         late_priority_weight: Value of an answer after the latency objective.
         latency_objective_per_work: Part of the latency objective that grows with the work of the query.
--- a/saffronlane/platform/stats.py
+++ b/saffronlane/platform/stats.py
@@ -103,6 +103,7 @@
     slow_start_duration = gateway.step_context.guarantees.slow_start_duration
     ready = gateway.engine_registry.ready
     concurrency_limit = gateway.concurrency_limit
+    retry_safety = gateway.completion.retry_policy.retry_safety
     return {
         "pending": dispatcher.pending_count,
         "queued": dispatcher.queued_count,
@@ -114,4 +115,6 @@
         "ready": len(ready),
         "threads": round(gateway.in_flight.threads, 1),
         "limit": round(min(concurrency_limit.limit, MAX_REPORTED_LIMIT), 1),
+        "short_key_failures": retry_safety.short_key_failures,
+        "key_margin_s": round(min(retry_safety.min_key_margin, MAX_REPORTED_LIMIT), 2),
     }
--- a/saffronlane/policy/execution/completion.py
+++ b/saffronlane/policy/execution/completion.py
@@ -3,7 +3,6 @@
 import math
 
 from ... import interface as api
-from ...interface import DeduplicationScope, Idempotency
 from ...state import Attempt, EngineRegistry, PendingRequests, Request, StepContext
 from ..estimation.workload_estimates import WorkloadEstimates
 from ..scheduling.retry_policy import RetryPolicy
@@ -79,17 +78,10 @@
 
     def _final_answer(self, request: Request) -> api.Reject | api.Fail:
         """Return a rejection if the client can retry safely, otherwise a failure."""
-        if not self.retry_policy.is_retry_safe(request):
+        max_retry_after = self.retry_policy.max_retry_after(request)
+        if max_retry_after is None:
             return api.Fail(request.id)
-        settings = request.class_settings
-        # A client's retry may reach an engine outside the scope that discards duplicates.
-        is_scope_limited = (
-            settings.idempotency is not Idempotency.SAFE
-            and settings.deduplication_scope is not DeduplicationScope.ALL
-        )
-        if is_scope_limited and request.first_possible_execution():
-            return api.Fail(request.id)
-        return api.Reject(request.id, self.retry_after(request))
+        return api.Reject(request.id, min(max_retry_after, self.retry_after(request)))
 
     def dequeue(self, request: Request) -> None:
         """Remove a request from the queue."""
--- a/saffronlane/policy/scheduling/retry_policy.py
+++ b/saffronlane/policy/scheduling/retry_policy.py
@@ -26,6 +26,10 @@
         """Return whether the idempotency of the request's class allows its next attempt."""
         return self.retry_safety.is_retry_safe(request)
 
+    def max_retry_after(self, request: Request) -> float | None:
+        """Return the longest delay that a rejection may ask for, or None if a rejection is not safe."""
+        return self.retry_safety.max_retry_after(request)
+
     def send_timeout(self, request: Request) -> float:
         """Return the seconds for which the decision to start the request's next attempt holds.
 
--- a/saffronlane/state/requests.py
+++ b/saffronlane/state/requests.py
@@ -108,6 +108,11 @@
         """Return the first attempt that may have been executed, or None if certainly none was."""
         return next((attempt for attempt in self.attempts if attempt.outcome not in NEVER_RAN), None)
 
+    def client_gives_up_at(self) -> float:
+        """Return the time until which its client may retry: it waits for one deadline over all its tries."""
+        started_at = min([self.arrived_at, *(attempt.sent_at for attempt in self.attempts)])
+        return max(self.expires_at, started_at + (self.class_settings.deadline or NO_DEADLINE))
+
     def add_previous_attempt(
         self, previous: api.PreviousAttempt, machine_types: tuple[api.MachineType, ...]
     ) -> None:
