A request that is not admitted fails if an earlier one with its key may have run

A Flight SQL gateway that drains, or has too many unanswered requests, rejected a repeat before it looked into its ledger of idempotency keys. The repeat of an unsafe request, of a keyed one with a limited scope, or of one whose key is about to be forgotten was so told that a retry is harmless, and would have run twice at another gateway.

Cause: InputHandler._on_submit asked RequestIntake before it asked for the earlier attempt.

Requests without an earlier attempt are rejected as before.

--- a/saffronlane/dispatch/action_handler.py
+++ b/saffronlane/dispatch/action_handler.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 from .. import interface as api
+from .answer_reasons import MAY_HAVE_RUN, NO_CAPACITY, REPEAT_NOT_ALLOWED
 from .effects import Effect, FailRequest, RejectRequest, StartAttempt
 from .policy_host import PolicyHost
 from .requests import RequestTable, ResourceGrant
 from .timers import TimerQueue
 
-# Recordings store these reasons and a replay compares them, so a changed text makes old recordings differ.
-NO_CAPACITY = "no engine can serve it in time"
-MAY_HAVE_RUN = "no answer in time, and it may have run"
-REPEAT_NOT_ALLOWED = "a request with this key may have run before, and may not be repeated now"
-
 
 class ActionHandler:
     """Applies the policy's actions to the table of requests, and emits the resulting effects.
--- a/saffronlane/dispatch/input_handler.py
+++ b/saffronlane/dispatch/input_handler.py
@@ -92,11 +92,6 @@
             idempotency_key=event.idempotency_key,
         )
         self._requests.add(request)
-        rejection = self._intake.rejection(request.id, self._requests.pending_count, now)
-        if rejection is not None:
-            self._requests.answer(request, rejection)
-            self._requests.release(request)
-            return []
         previous_attempt = self._policy.previous_attempt(event.idempotency_key, now)
         request.is_repeated = previous_attempt is not None
         arrival = api.Arrival(
@@ -112,6 +107,11 @@
             is_write=event.is_write,
             previous_attempt=previous_attempt,
         )
+        rejection = self._intake.rejection(request.id, self._requests.pending_count, now)
+        if rejection is not None:
+            self._requests.answer(request, self._policy.safe_answer(rejection, arrival, now))
+            self._requests.release(request)
+            return []
         return [arrival]
 
     def _on_client_disconnected(self, event: ClientDisconnected) -> list[api.Event]:
--- a/saffronlane/dispatch/policy_host.py
+++ b/saffronlane/dispatch/policy_host.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from .. import interface as api
 from ..learned_state import DURABILITY_TIMEOUT, Checkpointer, PersistedState, PurgeCategory
 from ..policy import Gateway
 from ..storage import Change
-from .effects import Effect, Persist
+from .answer_reasons import REPEAT_NOT_ALLOWED
+from .effects import Effect, FailRequest, Persist, RejectRequest
 from .engine_table import EngineTable
 from .requests import Attempt, Request, RequestTable
 
@@ -141,6 +144,23 @@
             return None
         return self.checkpointer.ledger.previous_attempt(idempotency_key, now)
 
+    def safe_answer(
+        self, rejection: RejectRequest, arrival: api.Arrival, now: float
+    ) -> RejectRequest | FailRequest:
+        """Return the rejection of a request that is not admitted, or a failure if a retry may run it twice.
+
+        Args:
+            rejection: The rejection.
+            arrival: The request. An earlier request with its idempotency key may have run.
+            now: The current time in seconds.
+        """
+        if arrival.previous_attempt is None:
+            return rejection
+        max_retry_after = self.gateway.max_retry_after(now, arrival)
+        if max_retry_after is None:
+            return FailRequest(rejection.request, REPEAT_NOT_ALLOWED)
+        return replace(rejection, retry_after=min(max_retry_after, rejection.retry_after))
+
     def record_attempt_end(self, idempotency_key: bytes, never_ran: bool) -> None:
         """Record in the idempotency ledger that an attempt of a request with this key has ended."""
         if idempotency_key:
--- a/saffronlane/policy/gateway.py
+++ b/saffronlane/policy/gateway.py
@@ -72,6 +72,19 @@
         self._schedule_maintenance()
         return self.step_context.actions
 
+    def max_retry_after(self, now: float, arrival: api.Arrival) -> float | None:
+        """Return the longest delay that the rejection of a request that does not arrive here may ask for.
+
+        Args:
+            now: The current time in seconds.
+            arrival: The request, with its previous attempt.
+
+        Returns:
+            The delay in seconds, infinite if there is no limit, or None if only a failure is safe.
+        """
+        self.step_context.begin(now)
+        return self.admission.max_retry_after(arrival)
+
     def _handle(self, event: api.Event) -> None:
         """Pass an event to the part that processes it."""
         match event:
--- a/saffronlane/policy/scheduling/admission.py
+++ b/saffronlane/policy/scheduling/admission.py
@@ -26,20 +26,29 @@
 
     def on_arrival(self, event: api.Arrival) -> None:
         """Queue a request; finish it immediately if it is unsafe to repeat its previous attempt."""
-        request = self._create_request(event)
+        request = self._admit(event)
         self.completion.add_pending(request)
         if request.previous_attempt_count and self.completion.retry_policy.is_exhausted(request):
             self.completion.finish(request)
         elif self.load_reports.is_probing_enabled and self.completion.workload_estimates.is_heavy(request):
             self._probe_load(request)
 
-    def _create_request(self, event: api.Arrival) -> Request:
+    def max_retry_after(self, event: api.Arrival) -> float | None:
+        """Return the longest delay that a rejection of an arrival may ask for, or None if it must fail."""
+        return self.completion.retry_policy.max_retry_after(self._create_request(event))
+
+    def _admit(self, event: api.Arrival) -> Request:
         """Create the request for an arrival and record its estimated cost."""
-        class_index = min(event.class_index, len(self.settings.classes) - 1)
-        request = Request(event, class_index, self.settings.classes[class_index], self.step_context.now)
-        estimator = self.completion.workload_estimates.estimators[class_index]
+        request = self._create_request(event)
+        estimator = self.completion.workload_estimates.estimators[request.class_index]
         estimator.record_estimate(request.estimated_cost, is_estimate_given=event.estimated_cost > 0.0)
         request.is_over_rate_limit = self.exceeds_rate_limit(event.tenant)
+        return request
+
+    def _create_request(self, event: api.Arrival) -> Request:
+        """Create the request for an arrival, with its previous attempt."""
+        class_index = min(event.class_index, len(self.settings.classes) - 1)
+        request = Request(event, class_index, self.settings.classes[class_index], self.step_context.now)
         if event.previous_attempt is not None:
             request.add_previous_attempt(event.previous_attempt, self.settings.machine_types)
         return request
