--- a/saffronlane/dispatch/action_handler.py
+++ b/saffronlane/dispatch/action_handler.py
@@ -73,6 +73,7 @@
             priority=grant.priority,
             durability_timeout=self._policy.record_write_ahead(request, attempt),
             send_timeout=action.send_timeout,
+            arrival_timeout=action.arrival_timeout,
         )
         self._effects.append(effect)
 
--- a/saffronlane/dispatch/effects.py
+++ b/saffronlane/dispatch/effects.py
@@ -26,6 +26,8 @@
         durability_timeout: The seconds that the attempt waits for this step's write-ahead `Persist` before it
             is sent anyway, or 0 if it does not wait.
         send_timeout: The seconds within which the attempt has to be sent; otherwise it ends as NOT_SENT.
+        arrival_timeout: The seconds within which all of the attempt has to arrive at the engine; otherwise it
+            has to be taken back, since the engine may have forgotten its idempotency key.
     """
 
     request: int
@@ -36,6 +38,7 @@
     priority: int | None = None
     durability_timeout: float = 0.0
     send_timeout: float = math.inf
+    arrival_timeout: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/dispatch/recording_forms.py
+++ b/saffronlane/dispatch/recording_forms.py
@@ -146,7 +146,8 @@
 }
 _EFFECTS = {
     effects.StartAttempt: RecordForm(
-        "StartAttempt", ("request", "attempt", "engine", "timeout", "grant_mb", "priority", "ahead", None)
+        "StartAttempt",
+        ("request", "attempt", "engine", "timeout", "grant_mb", "priority", "ahead", None, None),
     ),
     effects.Persist: RecordForm("Keep", ("changes", "ahead")),
     effects.CancelAttempt: RecordForm("CancelAttempt", ("request", "attempt")),
--- a/saffronlane/engines/transport.py
+++ b/saffronlane/engines/transport.py
@@ -67,6 +67,11 @@
         """The time of the event loop after which the attempt must not be sent; infinity if there is none."""
         return self.started_at + self.effect.send_timeout
 
+    @property
+    def arrival_deadline(self) -> float:
+        """The time of the event loop until which the whole attempt must arrive, or infinity."""
+        return self.started_at + self.effect.arrival_timeout
+
     async def wait_until_durable(self) -> bool:
         """Wait for the write-ahead of this attempt, up to the timeout in its effect.
 
--- a/saffronlane/interface/actions.py
+++ b/saffronlane/interface/actions.py
@@ -16,12 +16,15 @@
         timeout: Seconds after which the attempt ends without a result.
         send_timeout: Seconds within which the attempt has to be sent. If its first byte has not been handed
             to the network by then, it ends as NOT_SENT: what the decision relied on may no longer hold.
+        arrival_timeout: Seconds within which the whole attempt has to arrive at the engine; later, the engine
+            may have forgotten its idempotency key.
     """
 
     request: int
     engine: bytes
     timeout: float
     send_timeout: float = math.inf
+    arrival_timeout: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/saffronlane/platform/managed_connection.py
+++ b/saffronlane/platform/managed_connection.py
@@ -154,6 +154,11 @@
         """Close immediately, whatever is pending."""
         self.handle_event(Event.ABORT, reason)
 
+    def reset(self, reason: str) -> None:
+        """Close immediately, and drop what the system has not delivered to the peer yet."""
+        self.stream.discard_undelivered()
+        self.abort(reason)
+
     def handle_event(self, event: Event, reason: str) -> None:
         """Report an event to the lifecycle and perform the actions of the state that it enters."""
         before = self.lifecycle.state
--- a/saffronlane/platform/stats.py
+++ b/saffronlane/platform/stats.py
@@ -94,6 +94,7 @@
     return {
         "send_delay_ms": round(upstream.max_send_delay * MS_PER_SECOND, 1),
         "expired": upstream.expired_count,
+        "taken_back": upstream.taken_back_count,
     }
 
 
--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Callable, Sequence
 
 from tornado.iostream import IOStream
 
 READ_CHUNK_BYTES = 65_536
+LINGER_OFF = struct.pack(
+    "ii", 1, 0
+)  # `struct linger`: drop unsent bytes at a close, and reset the connection
 POLLRDHUP = getattr(select, "POLLRDHUP", 0)  # Linux only; elsewhere a half-close is noticed when it is read
 
 
@@ -45,6 +52,16 @@
         """The number of bytes that the kernel has accepted; no further byte can have reached the peer."""
         return self._total_write_done_index + self._bytes_sent_directly
 
+    @property
+    def bytes_acknowledged(self) -> int:
+        """The number of written bytes that the peer's system has confirmed; without meaning once closed."""
+        if self.closed():
+            return self.bytes_written
+        count = array.array("i", [0])
+        with contextlib.suppress(OSError):  # the system does not tell it
+            fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, count)
+        return self.bytes_written - count[0]
+
     @property
     def bytes_accepted(self) -> int:
         """The number of bytes that were passed to `write` or taken by `send_now`."""
@@ -114,6 +131,12 @@
                 self._read_buffer += data
                 self._read_buffer_size += len(data)
 
+    def discard_undelivered(self) -> None:
+        """Have the close reset the connection, and drop the written bytes that the peer's system lacks."""
+        if not self.closed():
+            with contextlib.suppress(OSError):  # the connection is broken, so that nothing is delivered
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+
     def shutdown_write(self) -> None:
         """Half-close the connection: the peer reads an end of stream; unread data from it causes no reset."""
         if self.closed():  # the stream noticed the peer's close, and the reader task has not run since
--- a/saffronlane/platform/upstream/attempt.py
+++ b/saffronlane/platform/upstream/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,7 @@
             sending.
         timeout_timer: The timer that ends the attempt.
         send_timer: The timer that withdraws the attempt if it has not been sent.
+        arrival_timer: The timer that takes the attempt back if its command has not arrived.
         result: The pages received so far.
         page_timer: The timer that requests missing pages again.
         work_s: The work that the compute node measured, in core-seconds.
@@ -44,6 +46,7 @@
     was_reassigned: bool = False
     timeout_timer: asyncio.TimerHandle | None = None
     send_timer: asyncio.TimerHandle | None = None
+    arrival_timer: asyncio.TimerHandle | None = None
     result: PagedResult = field(default_factory=PagedResult)
     page_timer: asyncio.TimerHandle | None = None
     work_s: float = 0.0
@@ -77,8 +80,24 @@
             return False
         return self.connection.stream.bytes_written >= self.end_offset
 
+    @property
+    def must_be_taken_back(self) -> bool:
+        """Whether the rest of the command must not arrive any more once the attempt has ended.
+
+        A command that arrives after its idempotency key was forgotten would be executed a second time.
+        """
+        is_keyed = self.effect.arrival_timeout < math.inf
+        return is_keyed and bool(self.sent_at) and not self.has_arrived
+
+    @property
+    def has_arrived(self) -> bool:
+        """Whether the system of the compute node has confirmed the whole command."""
+        if not self.sent_at or self.connection is None:
+            return False
+        return self.connection.stream.bytes_acknowledged >= self.end_offset
+
     def cancel_timers(self) -> None:
         """Cancel the timers of this attempt."""
-        for timer in (self.timeout_timer, self.send_timer, self.page_timer):
+        for timer in (self.timeout_timer, self.send_timer, self.arrival_timer, self.page_timer):
             if timer is not None:
                 timer.cancel()
--- a/saffronlane/platform/upstream/transport.py
+++ b/saffronlane/platform/upstream/transport.py
@@ -21,6 +21,8 @@
 from .probes import EngineProber
 from .response_assembler import ResponseAssembler
 
+ACKNOWLEDGEMENT_TIMEOUT = 0.2  # seconds; systems delay an acknowledgement by up to 40 ms
+
 
 class UpstreamTransport:
     """The executor's transport, which runs attempts at compute nodes, and the listener of all connections.
@@ -42,6 +44,7 @@
         self.pool = UpstreamPool(limits, address_of, descriptor_exhaustion, self, memory)
         self.max_send_delay = 0.0  # seconds from a dispatch to the first byte, since the last report
         self.expired_count = 0  # attempts that were not sent by their send deadline
+        self.taken_back_count = 0  # connections reset since a command had not arrived in time
         self._loop = asyncio.get_running_loop()
         self._executor: Executor
         self._prober = EngineProber(self.pool, self._on_probe_result)
@@ -68,6 +71,10 @@
         attempt.timeout_timer = self._loop.call_at(attempt.deadline, self._on_timeout, attempt)
         if attempt.send_deadline < attempt.deadline:
             attempt.send_timer = self._loop.call_at(attempt.send_deadline, self._on_send_timeout, attempt)
+        if attempt.arrival_deadline < attempt.deadline:
+            attempt.arrival_timer = self._loop.call_at(
+                attempt.arrival_deadline, self._on_arrival_timeout, attempt
+            )
         connection.execute(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
@@ -199,6 +206,21 @@
         attempt.connection.withdraw(attempt)
         self.on_attempt_expired(attempt)
 
+    def _on_arrival_timeout(self, attempt: UpstreamAttempt) -> None:
+        connection = attempt.connection
+        if connection is None or connection.lifecycle.is_closed or not attempt.must_be_taken_back:
+            return
+        self.taken_back_count += 1
+        connection.reset("a command has not arrived in time")
+
+    def _take_back(self, attempt: UpstreamAttempt) -> None:
+        """Take back the rest of an ended attempt's command, once its arrival would have been confirmed."""
+        confirmed_at = attempt.sent_at + ACKNOWLEDGEMENT_TIMEOUT
+        if self._loop.time() >= confirmed_at:
+            self._on_arrival_timeout(attempt)
+        else:
+            self._loop.call_at(confirmed_at, self._on_arrival_timeout, attempt)
+
     def _on_timeout(self, attempt: UpstreamAttempt) -> None:
         self._cancel_or_withdraw(attempt, Outcome.TIMEOUT if attempt.sent_at else Outcome.CONNECT_FAILED)
 
@@ -224,6 +246,8 @@
         connection.enqueue(protocol.cancel_command(attempt.statement.request_id))
         elapsed = self._loop.time() - attempt.sent_at
         self.on_attempt_ended(attempt, outcome)
+        if attempt.must_be_taken_back:
+            self._take_back(attempt)
         # After the failure of a machine or a network path, open connections stay open and silent. A new
         # connection shows whether the compute node is reachable. A response since the attempt was sent proves
         # that this connection works.
--- a/saffronlane/policy/execution/attempts.py
+++ b/saffronlane/policy/execution/attempts.py
@@ -39,6 +39,7 @@
         """Dispatch a queued request to an engine."""
         now = self.step_context.now
         send_timeout = self.retry_policy.send_timeout(request)
+        arrival_timeout = self.retry_policy.arrival_timeout(request)
         attempt = self._create_attempt(request, engine)
         if attempt.index:
             self.retry_policy.budget.retries.append(now)
@@ -49,7 +50,7 @@
         self.in_flight.add(attempt, work, RECENT_WORK_HORIZON, retention)
         attempt.progress_timer = self.step_context.schedule(now + self.progress_timeout(request), attempt)
         timeout = max(MIN_DISPATCH_TIMEOUT, request.expires_at - EXPIRY_MARGIN - now)
-        self.step_context.emit(api.Dispatch(request.id, engine.id, timeout, send_timeout))
+        self.step_context.emit(api.Dispatch(request.id, engine.id, timeout, send_timeout, arrival_timeout))
         self.load_gossip.on_attempt_started(attempt)
 
     def _create_attempt(self, request: Request, engine: Engine) -> Attempt:
--- a/saffronlane/policy/scheduling/retry_policy.py
+++ b/saffronlane/policy/scheduling/retry_policy.py
@@ -38,6 +38,10 @@
         """
         return min(self.retry_budget.send_timeout(request), self.retry_safety.send_timeout(request))
 
+    def arrival_timeout(self, request: Request) -> float:
+        """Return the seconds within which the whole of the request's next attempt has to arrive."""
+        return self.retry_safety.arrival_timeout(request)
+
     def is_exhausted(self, request: Request) -> bool:
         """Return whether the request can have no further attempt, now or later."""
         attempt_count = len(request.attempts) - request.previous_attempt_count
--- a/saffronlane/policy/scheduling/retry_safety.py
+++ b/saffronlane/policy/scheduling/retry_safety.py
@@ -43,6 +43,16 @@
             return math.inf
         return first.sent_at + request.class_settings.idempotency_ttl - self.step_context.now
 
+    def arrival_timeout(self, request: Request) -> float:
+        """Return the seconds within which the whole of the next attempt must arrive: while its key is known.
+
+        The first attempt has such a limit as well: a later one may run before it has arrived.
+        """
+        settings = request.class_settings
+        if settings.idempotency is not Idempotency.KEYED:
+            return math.inf
+        return min(settings.idempotency_ttl, self.send_timeout(request))
+
     def max_retry_after(self, request: Request) -> float | None:
         """Return the longest delay that a rejection may ask for, or None if a rejection is not safe.
 
