knowledge forget DIRECTORY all leaves no purged records on disk

Both had the sequence of the last commit, so the second replaced the first.

Related paths: a purge by a running gateway commits the removals; its older files go with the second compaction after it.

--- a/saffronlane/cli/learned_state.py
+++ b/saffronlane/cli/learned_state.py
@@ -247,10 +247,7 @@
         store.begin()
         if changes:
             store.commit(changes)
-        # The second call is meant to displace the older retained snapshot, which has the purged data. It does
-        # not: both calls write a snapshot of the same sequence, so the second replaces the first.
-        store.write_final_snapshot()
-        store.write_final_snapshot()
+        store.discard_history()
     except (OSError, StoreFailedError) as error:
         click.echo(f"{folder}: {error}", err=True)
         sys.exit(2)
--- a/saffronlane/storage/store.py
+++ b/saffronlane/storage/store.py
@@ -179,6 +179,16 @@
         self._compaction = None
         self.begin()
 
+    def discard_history(self) -> None:
+        """Write the present state again, and remove all files that contain an earlier one.
+
+        Raises:
+            StoreFailedError: The files cannot be written or removed.
+        """
+        for _ in range(RETAINED_SNAPSHOTS):
+            self.commit([])  # a snapshot with the sequence of the one before it would only replace that one
+            self.write_final_snapshot()
+
     def close(self) -> None:
         """Close the log file and mark the store as failed."""
         self.has_failed = True
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -551,3 +551,33 @@
         assert recovery.state[b"n"] == recovery.state[b"m"]
         assert int.from_bytes(recovery.state[b"n"].value, "big") >= last_acknowledged
         last_acknowledged = int.from_bytes(recovery.state[b"n"].value, "big")
+
+
+def test_discarded_history_leaves_two_snapshots_without_earlier_state():
+    """Guards against two snapshots of one sequence: the second replaces the first, not an older one."""
+    files = ModelFiles()
+    store = Store(files)
+    store.begin()
+    for number in range(3):
+        store.commit([Change(b"purged-%d" % number, Entry(1, b"purged"))])
+        store.write_final_snapshot()
+    removals = [Change(b"purged-%d" % number, None) for number in range(3)]
+    store.commit([*removals, Change(b"kept", Entry(1, b"1"))])
+    store.discard_history()
+    store.commit([Change(b"later", Entry(1, b"2"))])
+    assert sum(name.startswith("snap") for name in files.names()) == 2
+    assert not [name for name in files.names() if b"purged" in files.read(name)]
+    assert as_dict(recover(files).state) == {b"kept": Entry(1, b"1"), b"later": Entry(1, b"2")}
+
+
+def test_every_crash_state_while_history_is_discarded_recovers_to_the_last_commit():
+    for seed in range(8):
+        checker = CrashChecker(ModelFiles(), seed, mixed_crash_count=6)
+        checker.run(10)
+        store = Store(checker.files, SMALL_LIMITS)
+        store.load()
+        store.begin()
+        checked_state_count = checker.checked_state_count
+        store.discard_history()
+        assert checker.checked_state_count > checked_state_count + 50
+        assert not checker.violations, f"seed {seed}: {checker.violations[:3]}"
