Discovery: a silent connection stays open while others are tried

Cause: a silent connection was closed before the next one was opened. A longer timeout would find a connection that broke without a word too late for the 4 s of the protocol.

Change: up to three connections are open at a time. The first on which the feed turns out to be up to date is kept and the others are closed. The connection has a module of its own, feed_connection.py. DiscoveryWatch._on_line is on_line now, which one test replaces.

--- a/saffronlane/platform/discovery/watch.py
+++ b/saffronlane/platform/discovery/watch.py
@@ -1,38 +1,33 @@
 """Watches the control feed, a stream of numbered events over TCP.
 
-After any failure, the watch reconnects and resumes after the last event that it received.
+After any failure, the watch reconnects and resumes after the last event that it received. A silent connection
+stays open while others are tried: the feed may be slow to write its first line on each.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import Callable
 from random import Random
 
 import msgspec
 import structlog
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from ...errors import error_fields
 from ..config import Address, EndpointList, WatchEvent
 from ..descriptors import DescriptorExhaustion
 from ..errors import DiscoveryError
+from .feed_connection import CONNECT_TIMEOUT, READ_TIMEOUT, FeedConnection
 
 log = structlog.get_logger()
 
-# Names in the feed's protocol.
-SUBSCRIBE_COMMAND = b"SUB %d\n"
-SEQUENCE_FIELD = "n"
-
-MAX_LINE_BYTES = 1_048_576
+SEQUENCE_FIELD = "n"  # name in the feed's protocol
 MAX_HEARTBEAT_BYTES = 40
 MAX_SEQUENCE_DIGITS = 15
-READ_CHUNK_BYTES = 65_536
-READ_TIMEOUT = 1.8  # seconds; the feed writes at least one line per second
-CONNECT_TIMEOUT = 0.7  # seconds
+MAX_CONNECTIONS = 3  # the newest and silent ones; more of them outlast a slower first line
 MIN_BACKOFF = 0.05  # seconds between connection attempts; doubled after each failure and jittered
 MAX_BACKOFF = 0.8  # seconds
 MIN_JITTER = 0.5  # lower bound of the random factor of the backoff; the upper bound is 1
@@ -83,7 +78,8 @@
         self._on_endpoints = on_endpoints
         self._random = random
         self._exhaustion = exhaustion
-        self._stream: IOStream | None = None
+        self._connections: list[FeedConnection] = []  # in the order in which they were opened
+        self._has_changed = asyncio.Event()  # a connection reported a change
         self._task: asyncio.Task[None] | None = None
         self._address_changed = asyncio.Event()
 
@@ -96,18 +92,17 @@
         if address != self.address:
             self.address = address
             self._address_changed.set()
-            if self._stream is not None:
-                self._stream.close()
+            self._close_connections()
 
     def close(self) -> None:
         """Stop watching and close the connection."""
         if self._task is not None:
             self._task.cancel()
-        self._close_stream()
+        self._close_connections()
 
-    def _close_stream(self) -> None:
-        if self._stream is not None:
-            self._stream.close()
+    def _close_connections(self) -> None:
+        for connection in list(self._connections):
+            connection.close()
 
     async def _follow(self) -> None:
         """Watch the feed until `close`, and reconnect after any failure with exponential backoff."""
@@ -120,9 +115,6 @@
                 await self._watch_once()
             except Exception as error:
                 self._log_failure(error)
-            finally:
-                self._close_stream()
-                self._stream = None
             has_progressed = self.last_sequence != sequence_before
             has_lasted = time.monotonic() > started_at + CONNECT_TIMEOUT + READ_TIMEOUT
             backoff = MIN_BACKOFF if has_progressed or has_lasted else min(MAX_BACKOFF, backoff * 2.0)
@@ -149,24 +141,46 @@
             )
 
     async def _watch_once(self) -> None:
-        """Watch the feed on one connection until the connection fails, which raises an exception."""
-        stream = IOStream(
-            socket.socket(), max_buffer_size=2 * MAX_LINE_BYTES, read_chunk_size=READ_CHUNK_BYTES
-        )
-        self._stream = stream
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            await stream.connect(self.address)
-        stream.write(SUBSCRIBE_COMMAND % self.last_sequence)
+        """Watch a connection until it fails or is silent, which raises an exception.
+
+        This is a new connection, or an earlier one on which the feed has turned out to be up to date.
+        """
+        watched = self._current_connection() or self._open_connection()
         while True:
-            async with asyncio.timeout(READ_TIMEOUT):
-                # Only lines that show that the feed is up to date reset the timeout.
-                is_current = False
-                while not is_current:
-                    line = await stream.read_until(b"\n", max_bytes=MAX_LINE_BYTES)
-                    is_current = self._on_line(line.strip())
-
-    def _on_line(self, line: bytes) -> bool:
-        """Handle one line and return whether it shows that the feed is up to date.
+            self._has_changed.clear()
+            watched = self._current_connection() or watched
+            if watched.error is not None:
+                raise watched.error
+            async with asyncio.timeout_at(watched.silent_at):
+                await self._has_changed.wait()
+
+    def _current_connection(self) -> FeedConnection | None:
+        """Return a connection on which the feed is up to date, or None."""
+        for connection in self._connections:
+            if connection.is_current and not connection.is_silent:
+                return connection
+        return None
+
+    def _open_connection(self) -> FeedConnection:
+        """Open a connection, and close the oldest one if there are too many."""
+        if len(self._connections) >= MAX_CONNECTIONS:
+            self._connections[0].close()
+        connection = FeedConnection(self.address, self)
+        self._connections.append(connection)
+        return connection
+
+    def on_change(self, connection: FeedConnection) -> None:
+        """Keep only a connection on which the feed is up to date, and drop one that has ended."""
+        self._has_changed.set()
+        if connection.error is not None:
+            self._connections = [other for other in self._connections if other is not connection]
+        elif connection.is_current:
+            for other in list(self._connections):
+                if other is not connection:
+                    other.close()
+
+    def on_line(self, line: bytes) -> bool:
+        """Handle a line of any connection and return whether it shows that the feed is up to date.
 
         Raises:
             DiscoveryError: Events are missing or the line is invalid.
--- a/tests/node/test_feed.py
+++ b/tests/node/test_feed.py
@@ -194,6 +194,44 @@
     run_with_harness(scenario)
 
 
+def write_late(harness: Harness, delay: float) -> None:
+    """Have the feed write everything late: the events that each connection lacks, then heartbeats."""
+    event_loop, feed = asyncio.get_running_loop(), harness.feed
+    draining = event_line(2, [member("node-0", harness.compute_nodes[0].port, "draining")])
+
+    def write(writer: asyncio.StreamWriter, line: bytes) -> None:
+        if not writer.is_closing():
+            writer.write(line)
+            event_loop.call_later(1.0, write, writer, b"2\n")
+
+    def on_subscribe(writer: asyncio.StreamWriter) -> None:
+        event_loop.call_later(
+            delay, write, writer, draining if feed.subscribed_sequences[-1] == 1 else b"2\n"
+        )
+
+    feed.on_subscribe = on_subscribe
+
+
+@pytest.mark.parametrize("delay", [2.2, 2.5, 3.5])
+def test_a_drain_is_heard_of_though_the_feed_is_slow_on_each_connection(delay: float) -> None:
+    """Guards against a watch that gives up each connection before its first line."""
+
+    async def scenario(harness: Harness) -> None:
+        write_late(harness, delay)
+        await harness.wait_until(lambda: harness.feed.writers)
+        if len(harness.feed.writers) == 1:  # it was opened before the feed was slow, and stays silent
+            await harness.wait_until(lambda: len(harness.feed.writers) == 2)
+        await harness.wait_until(lambda: harness.server.discovery.last_sequence == 2, delay + 0.5)
+        connection_count = len(harness.feed.writers)
+        client = await harness.client()
+        assert (await client.read_answer(client.call("ask", REQUEST_ID)))[0] is None
+        assert not harness.compute_nodes[0].commands(b"fetch")
+        await asyncio.sleep(2.5)
+        assert len(harness.feed.writers) == connection_count  # the slow connection is kept
+
+    run_with_harness(scenario, answer_fetches, answer_fetches)
+
+
 def test_an_exception_in_handling_an_event_does_not_end_the_watch() -> None:
     """Guards against an end of the watch task, after which the endpoint list never changed again."""
 
@@ -219,13 +257,13 @@
 def test_the_watch_reconnects_after_an_exception_of_its_own() -> None:
     async def scenario(harness: Harness) -> None:
         await harness.wait_until(lambda: harness.feed.writers)
-        discovery, on_line = harness.server.discovery, harness.server.discovery._on_line
+        discovery, on_line = harness.server.discovery, harness.server.discovery.on_line
 
         def fail_once(line: bytes) -> bool:
-            discovery._on_line = on_line  # type: ignore[method-assign]
+            discovery.on_line = on_line  # type: ignore[method-assign]
             raise RuntimeError("injected failure")
 
-        discovery._on_line = fail_once  # type: ignore[method-assign]
+        discovery.on_line = fail_once  # type: ignore[method-assign]
         harness.feed.send_line(b"1\n1\n")
         await check_watch_recovers(harness, 2)
 
