platform/downstream: roles in place of imports in a circle

Need: seven files imported each other in a circle, so that none could be read or changed alone.

Change: each consumer names what it needs as a protocol (MessageHandler, EvictableConnection, ReplyWriter, RequestSource, OrderedSubmission, SubmittingClient, ConnectionOwner). The arrows point from the server to the connection, to the submission, to the parts. RequestSubmitter.add gets the connection as an argument, and no longer through the reply channel.

--- a/saffronlane/platform/downstream/arrival_order.py
+++ b/saffronlane/platform/downstream/arrival_order.py
@@ -12,19 +12,64 @@
 import bisect
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple, Protocol
 
 from .message_reader import MAX_MESSAGE_BYTES
-
-if TYPE_CHECKING:
-    from .client_connection import ClientConnection
-    from .submission import Submission
+from .request_decoder import DecodedRequest
 
 # A connection that never runs out of input has been read far enough after these bytes: the message in which
 # its input ended, and as much before it.
 MAX_CATCH_UP_BYTES = 2 * MAX_MESSAGE_BYTES
 
 
+class RequestSource(Protocol):
+    """A connection on which requests are received.
+
+    Attributes:
+        received_bytes: The number of bytes that were read from it.
+    """
+
+    received_bytes: int
+
+    @property
+    def may_have_unread_requests(self) -> bool:
+        """Whether input that may contain requests is not processed yet."""
+
+
+class OrderedSubmission(Protocol):
+    """A request that can be held before it is submitted."""
+
+    @property
+    def number(self) -> int:
+        """The dispatcher's number for the request."""
+
+    @property
+    def request(self) -> DecodedRequest:
+        """The request."""
+
+    @property
+    def client(self) -> RequestSource:
+        """The connection on which it was received."""
+
+    @property
+    def received_at(self) -> float:
+        """The time of the event loop, in seconds, at which it was decoded."""
+
+    @property
+    def latest_at(self) -> float:
+        """The time of the event loop, in seconds, until which it may be submitted."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether all that has to be known before it is submitted is known."""
+
+    def submit(self) -> None:
+        """Submit the request."""
+
+    def reject(self) -> None:
+        """Reject the request."""
+
+
 class _HeldRequest(NamedTuple):
     """A request that waits for what arrived before it.
 
@@ -34,7 +79,7 @@
         position: Sorts the held requests of a key.
     """
 
-    submission: Submission
+    submission: OrderedSubmission
     scan: int
     position: tuple[int, int, int]
 
@@ -50,7 +95,7 @@
         find_unread: Returns the connections that have unread input now.
     """
 
-    def __init__(self, find_unread: Callable[[], Iterable[ClientConnection]]) -> None:
+    def __init__(self, find_unread: Callable[[], Iterable[RequestSource]]) -> None:
         self._find_unread = find_unread
         self._loop = asyncio.get_running_loop()
         self._held: dict[int, _HeldRequest] = {}  # by the dispatcher's number
@@ -58,7 +103,7 @@
         self._scan_count = 0
         self._needs_scan = False
         # For each connection that is behind: the scans that found unread input, and its offset at that time.
-        self._behind: dict[ClientConnection, deque[tuple[int, int]]] = {}
+        self._behind: dict[RequestSource, deque[tuple[int, int]]] = {}
         self._next_check: asyncio.Handle | None = None
         self.max_delay = 0.0  # seconds for which a request was held, since the last report
 
@@ -66,7 +111,7 @@
         """The number of requests that are held."""
         return len(self._held)
 
-    def hold(self, submission: Submission) -> None:
+    def hold(self, submission: OrderedSubmission) -> None:
         """Hold a new request."""
         self._needs_scan = True
         same_key = self._by_key.setdefault(submission.request.ordering_key, [])
@@ -76,7 +121,7 @@
         if self._next_check is None:
             self._next_check = self._loop.call_soon(self._check)
 
-    def _position(self, submission: Submission, same_key: list[_HeldRequest]) -> tuple[int, int, int]:
+    def _position(self, submission: OrderedSubmission, same_key: list[_HeldRequest]) -> tuple[int, int, int]:
         """Return a new request's position among the held requests of its key.
 
         A request from a connection that is behind may have arrived before the requests that wait for this
--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import structlog
 
@@ -14,14 +14,12 @@
 from ..managed_connection import ManagedConnection
 from ..memory_budget import MemoryHolder
 from ..stream import Stream
+from .connection_owner import ConnectionOwner
 from .fault_replies import DelayedFaultReplies
 from .message_backlog import Message, MessageBacklog
 from .message_reader import MAX_MESSAGE_BYTES, SMALL_MESSAGE_BYTES, MessageReader
 from .reply_channel import FAULT_ERROR, ReplyChannel, rejection
-
-if TYPE_CHECKING:
-    from .server import DownstreamServer
-    from .submission import Submission
+from .submission import Submission
 
 log = structlog.get_logger()
 
@@ -67,7 +65,7 @@
         connection: The accepted socket.
     """
 
-    def __init__(self, server: DownstreamServer, connection: socket.socket) -> None:
+    def __init__(self, server: ConnectionOwner[ClientConnection], connection: socket.socket) -> None:
         now = asyncio.get_running_loop().time()
         stream = Stream(connection, 2 * MAX_MESSAGE_BYTES, MAX_UNREAD_BYTES, server.read_chunk_bytes)
         stream.set_nodelay(True)
@@ -273,7 +271,8 @@
             return
         request_id = request.statement.request_id
         self.memory.add(held_bytes)
-        submission = self.server.add_request(request, ReplyChannel(self, call.id, request_id, held_bytes))
+        channel = ReplyChannel(self, call.id, request_id, held_bytes)
+        submission = self.server.add_request(request, self, channel)
         is_safe = self.server.is_safe(request)
         self.open_requests[call.id] = OpenRequest(submission.number, request_id, is_safe)
         self.request_count += 1
@@ -389,6 +388,11 @@
         if not (self.lifecycle.accepts_work or self.lifecycle.is_closed):
             self.server.eviction.mark_closing(self)
 
+    @property
+    def is_within_message(self) -> bool:
+        """Whether a message has begun and is not complete yet."""
+        return self.reader.is_within_message
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection has no open request, partial message, unsent reply or unprocessed input."""
--- a/saffronlane/platform/downstream/input_scheduler.py
+++ b/saffronlane/platform/downstream/input_scheduler.py
@@ -4,14 +4,18 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from .client_connection import ClientConnection
+from typing import Protocol
 
 MAX_HANDLING_TIME = 0.005  # seconds in one iteration of the event loop
 
 
+class MessageHandler(Protocol):
+    """A connection with messages to handle."""
+
+    def handle_next_message(self) -> bool:
+        """Handle the first message; return whether more of them wait."""
+
+
 class InputScheduler:
     """Lets connections handle their messages, for at most `MAX_HANDLING_TIME` in an iteration of the loop.
 
@@ -21,12 +25,12 @@
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._waiting: deque[ClientConnection] = deque()
-        self._is_waiting: set[ClientConnection] = set()
+        self._waiting: deque[MessageHandler] = deque()
+        self._is_waiting: set[MessageHandler] = set()
         self._used_time = 0.0  # seconds, in this iteration
         self._next_iteration: asyncio.Handle | None = None
 
-    def handle(self, client: ClientConnection) -> None:
+    def handle(self, client: MessageHandler) -> None:
         """Handle the messages of a connection now if there is time, and otherwise when its turn has come."""
         if client not in self._is_waiting:
             self._is_waiting.add(client)
--- a/saffronlane/platform/downstream/reply_channel.py
+++ b/saffronlane/platform/downstream/reply_channel.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from ... import msgpackrpc as rpc
-
-if TYPE_CHECKING:
-    from .client_connection import ClientConnection
+from ..memory_budget import MemoryHolder
 
 # Names in the client protocol.
 REJECTED_ERROR = "Shed"
@@ -31,6 +29,26 @@
     return rpc.Reply(message_id, REJECTED_ERROR, fields)
 
 
+class ReplyWriter(Protocol):
+    """A connection on which replies are written.
+
+    Attributes:
+        memory: The bytes that the connection holds.
+    """
+
+    memory: MemoryHolder
+
+    @property
+    def has_unprocessed_input(self) -> bool:
+        """Whether the client has sent bytes that have not been processed yet."""
+
+    def close_if_left(self) -> bool:
+        """Close the connection if the client has closed it; return whether the client has left."""
+
+    def send_reply(self, channel: ReplyChannel, reply: rpc.Reply) -> None:
+        """Write the reply to a request unless the request was cancelled."""
+
+
 class ReplyChannel:
     """Writes the reply to one request on its client's connection.
 
@@ -43,7 +61,7 @@
 
     __slots__ = ("client", "held_bytes", "message_id", "request_id")
 
-    def __init__(self, client: ClientConnection, message_id: int, request_id: bytes, held_bytes: int) -> None:
+    def __init__(self, client: ReplyWriter, message_id: int, request_id: bytes, held_bytes: int) -> None:
         self.client = client
         self.message_id = message_id
         self.request_id = request_id
--- a/saffronlane/platform/downstream/server.py
+++ b/saffronlane/platform/downstream/server.py
@@ -63,7 +63,7 @@
         max_clients = min(max_clients, plan.max_clients)
         self.decoder = RequestDecoder(settings)
         self.clients: dict[ClientConnection, None] = {}  # oldest first
-        self.eviction = EvictionOrder(max_clients)
+        self.eviction: EvictionOrder[ClientConnection] = EvictionOrder(max_clients)
         self.open_request_ids: set[bytes] = set()
         max_deadline = max((query_class.deadline for query_class in settings.classes), default=0.0)
         self.cancelled_request_ids = CancelledRequestIds(max_age=max_deadline)
@@ -171,12 +171,14 @@
             raise BadRequestError(f"field '{REQUEST_ID_FIELD}': a request with this id was cancelled")
         return request
 
-    def add_request(self, request: DecodedRequest, channel: ReplyChannel) -> Submission:
+    def add_request(
+        self, request: DecodedRequest, client: ClientConnection, channel: ReplyChannel
+    ) -> Submission:
         """Add a request, which `submit` then submits to the dispatcher."""
         self.request_count += 1
         self.last_request_at = self._loop.time()
         self.open_request_ids.add(request.statement.request_id)
-        return self.submitter.add(request, channel)
+        return self.submitter.add(request, client, channel)
 
     def submit(self, submission: Submission) -> None:
         """Submit a request. It may be answered, or its connection closed, before this returns."""
--- a/saffronlane/platform/downstream/submission.py
+++ b/saffronlane/platform/downstream/submission.py
@@ -6,11 +6,12 @@
 import functools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from ... import dispatch
 from ...engines import Executor
-from .arrival_order import ArrivalOrder
-from .client_connection import ClientConnection
+from ..stream import Stream
+from .arrival_order import ArrivalOrder, RequestSource
 from .reply_channel import ReplyChannel
 from .request_decoder import DecodedRequest
 from .table_group_queue import TableGroupQueue
@@ -18,6 +19,24 @@
 MAX_HOLD_RATIO = 0.5  # fraction of its timeout after which a request is not submitted any more
 
 
+class SubmittingClient(RequestSource, Protocol):
+    """A connection whose requests are submitted.
+
+    Attributes:
+        stream: The stream of the connection's socket.
+        loop: The event loop of the connection.
+    """
+
+    stream: Stream
+    loop: asyncio.AbstractEventLoop
+
+    def close_if_left(self) -> bool:
+        """Close the connection if the client has closed it; return whether the client has left."""
+
+    def submit_when_read(self, submission: Submission) -> None:
+        """Submit a request once all input that has arrived was read."""
+
+
 @dataclass(slots=True, eq=False)
 class Submission:
     """A request that is added to the executor and not submitted to the dispatcher yet.
@@ -34,7 +53,7 @@
 
     number: int
     request: DecodedRequest
-    client: ClientConnection
+    client: SubmittingClient
     executor: Executor
     retry_after: float
     received_at: float
@@ -97,7 +116,7 @@
         self,
         executor: Executor,
         retry_after: float,
-        find_unread: Callable[[], Iterable[ClientConnection]],
+        find_unread: Callable[[], Iterable[RequestSource]],
     ) -> None:
         self.arrival_order = ArrivalOrder(find_unread)
         self._table_groups = TableGroupQueue()
@@ -105,12 +124,10 @@
         self._retry_after = retry_after
         self._loop = asyncio.get_running_loop()
 
-    def add(self, request: DecodedRequest, channel: ReplyChannel) -> Submission:
+    def add(self, request: DecodedRequest, client: SubmittingClient, channel: ReplyChannel) -> Submission:
         """Add a request to the executor."""
         number = self._executor.add_request(request.statement, channel)
-        return Submission(
-            number, request, channel.client, self._executor, self._retry_after, self._loop.time()
-        )
+        return Submission(number, request, client, self._executor, self._retry_after, self._loop.time())
 
     def submit(self, submission: Submission) -> None:
         """Submit a request when it is ready. It may be answered, or its connection closed, before that."""
