platform/downstream: input, output and timeouts of a client have modules of their own

Need: client_connection.py (448 lines) split input into messages, wrote replies and decided on timeouts.

Change: client_input.py (messages, reading ahead, requests that wait for input to be read), client_output.py (replies, delayed replies, what the client has not read) and client_timeouts.py (a decision on plain values, tested without a socket). What is left in client_connection.py (370 lines) handles messages and answers requests. Tests patch the timeouts in their new module and ask the connection whether it is within a message; their assertions are as before.

A first form gave ClientInput the connection's method to keep. The method is an argument of receive.

--- a/saffronlane/platform/downstream/arrival_order.py
+++ b/saffronlane/platform/downstream/arrival_order.py
@@ -23,13 +23,11 @@
 
 
 class RequestSource(Protocol):
-    """A connection on which requests are received.
+    """A connection on which requests are received."""
 
-    Attributes:
-        received_bytes: The number of bytes that were read from it.
-    """
-
-    received_bytes: int
+    @property
+    def received_bytes(self) -> int:
+        """The number of bytes that were read from it."""
 
     @property
     def may_have_unread_requests(self) -> bool:
--- a/saffronlane/platform/downstream/client_connection.py
+++ b/saffronlane/platform/downstream/client_connection.py
@@ -1,4 +1,4 @@
-"""A connection of a client: parses its messages, writes replies and enforces timeouts."""
+"""A connection of a client: handles its messages, and answers its requests."""
 
 from __future__ import annotations
 
@@ -10,32 +10,27 @@
 
 from ... import msgpackrpc as rpc
 from ..errors import BadRequestError
-from ..lifecycle import ConnectionLifecycle, ConnectionLimits, Event
-from ..managed_connection import ManagedConnection
+from ..lifecycle import ConnectionLifecycle, Event
 from ..memory_budget import MemoryHolder
 from ..stream import Stream
+from . import client_timeouts
+from .client_input import CANCEL_METHOD, ClientInput, WaitingSubmissions
+from .client_output import ClientOutput
+from .client_timeouts import ClientActivity, Overdue, find_overdue
 from .connection_owner import ConnectionOwner
-from .fault_replies import DelayedFaultReplies
-from .message_backlog import Message, MessageBacklog
-from .message_reader import MAX_MESSAGE_BYTES, SMALL_MESSAGE_BYTES, MessageReader
+from .message_backlog import Message
+from .message_reader import MAX_MESSAGE_BYTES
 from .reply_channel import FAULT_ERROR, ReplyChannel, rejection
 from .submission import Submission
 
 log = structlog.get_logger()
 
-# Methods that are not names of query classes.
-CANCEL_METHOD = "forget"
-HEALTH_CHECK_METHOD = "isWell"
-
+HEALTH_CHECK_METHOD = "isWell"  # in the client protocol; not the name of a query class
 MAX_OPEN_REQUESTS = 32  # the protocol's limit for each connection
 REQUEST_OVERHEAD_BYTES = 4_096  # kept for each open request besides its statement
 MAX_REPLY_BYTES = 49_152
 MAX_UNREAD_BYTES = MAX_OPEN_REQUESTS * MAX_REPLY_BYTES  # reply bytes that a client may leave unread
-MAX_READ_AHEAD_MESSAGES = 2 * MAX_OPEN_REQUESTS  # that wait to be handled; with more, reading pauses
-FIRST_MESSAGE_TIMEOUT = 2.0  # seconds to wait for the first message of a connection
-IDLE_TIMEOUT = 5.0  # seconds without an open request; clients close idle connections after 4 s
 MAX_INVALID_MESSAGES = 8  # number of invalid messages after which a connection is closed
-CONNECTION_LIMITS = ConnectionLimits(stall_timeout=IDLE_TIMEOUT)
 
 
 class OpenRequest(NamedTuple):
@@ -52,7 +47,7 @@
     is_safe: bool
 
 
-class ClientConnection(ManagedConnection):
+class ClientConnection(ClientOutput):
     """Reads a client's requests and writes its replies.
 
     The connection is read ahead of the handling of its messages, for which `InputScheduler` allots the time.
@@ -69,7 +64,8 @@
         now = asyncio.get_running_loop().time()
         stream = Stream(connection, 2 * MAX_MESSAGE_BYTES, MAX_UNREAD_BYTES, server.read_chunk_bytes)
         stream.set_nodelay(True)
-        super().__init__(stream, ConnectionLifecycle(CONNECTION_LIMITS, now))
+        lifecycle = ConnectionLifecycle(client_timeouts.CONNECTION_LIMITS, now)
+        super().__init__(stream, lifecycle, server.count_unread)
         self.server = server
         self.open_requests: dict[int, OpenRequest] = {}  # by message id
         self.memory = MemoryHolder(server.memory)  # of open requests and of a message that has begun
@@ -78,97 +74,43 @@
         self.has_sent_message = False
         self.request_count = 0
         self.invalid_message_count = 0
-        self.reader = MessageReader(self.memory, now)
-        self.received_bytes = 0
-        self._backlog = MessageBacklog(self.memory)
-        self._waiting_submissions: list[Submission] = []
-        self._reading_resumed: asyncio.Future[None] | None = None
-        self._input_error: rpc.ScanError | None = None  # in the bytes after the messages of the backlog
-        self._can_parse_input = True
-        self._output: list[bytes] = []
-        self.unread_bytes = 0  # of replies, as counted by the server
-        self._fault_replies = DelayedFaultReplies()
+        self._input = ClientInput(self.memory, now)
+        self._waiting_submissions = WaitingSubmissions()
 
     # --- reading ---
 
     def receive(self, data: bytes) -> None:
         """Parse received bytes and have the messages that they complete handled."""
-        self.received_bytes += len(data)
-        if not self._can_parse_input:
+        if not self._input.receive(data, self.loop.time(), self._on_cancel):
             return
-        messages, self._input_error = self.reader.feed(data, self.loop.time())
-        self._can_parse_input = self._input_error is None
-        for message in messages:
-            if not self._apply_cancellation(message):
-                self._backlog.append(self._within_memory(message))
-        if self._backlog:
+        if self._input.has_messages:
             self.server.input_scheduler.handle(self)
         else:
             self._finish_input()
 
-    def _within_memory(self, message: Message) -> Message:
-        """Return a message that has to wait, or only its head if there is no memory for it."""
-        if isinstance(message, rpc.DiscardedMessage) or len(message) <= SMALL_MESSAGE_BYTES:
-            return message
-        if self.memory.admits(len(message)):
-            return message
-        return rpc.DiscardedMessage(message[: rpc.HEAD_BYTES])
-
     def submit_when_read(self, submission: Submission) -> None:
-        """Submit a request once all input that has arrived was read.
-
-        The client may have left, and the end of the connection is behind this input.
-        """
+        """Submit a request once all input that has arrived was read."""
         if self.stream.has_unread_input:
-            self._waiting_submissions.append(submission)
+            self._waiting_submissions.add(submission)
         else:
             submission.submit()
 
     def on_input_read(self) -> None:
         """Submit the requests that waited for this."""
-        waiting, self._waiting_submissions = self._waiting_submissions, []
-        for submission in waiting:
-            submission.submit()
-
-    def _reject_late_submissions(self, now: float) -> None:
-        """Reject the requests that have waited for too long."""
-        late = [submission for submission in self._waiting_submissions if now >= submission.latest_at]
-        self._waiting_submissions = [s for s in self._waiting_submissions if s not in late]
-        for submission in late:
-            submission.reject()
-
-    def _apply_cancellation(self, message: Message) -> bool:
-        """Apply a cancellation that follows messages in the backlog; return whether the message is one."""
-        if not self._backlog or isinstance(message, rpc.DiscardedMessage) or not rpc.is_notification(message):
-            return False
-        try:
-            notification = rpc.decode_message(message)
-        except rpc.InvalidMessageError:
-            return False
-        if not isinstance(notification, rpc.Notification) or notification.method != CANCEL_METHOD:
-            return False
-        for message_id in notification.ids:
-            if not self._backlog.cancel_call(message_id):
-                self._on_cancel(message_id)
-        return True
+        self._waiting_submissions.submit_all()
 
     def handle_next_message(self) -> bool:
-        """Handle the first message of the backlog; return whether more of them wait."""
+        """Handle the first message that waits; return whether more of them wait."""
         if not self.lifecycle.processes_input:
-            self._backlog.clear()
-        if self._backlog:
-            self._handle(self._backlog.pop())
-        if len(self._backlog) < MAX_READ_AHEAD_MESSAGES:
-            self._resume_reading()
-        if self._backlog:
+            self._input.clear()
+        if self._input.has_messages:
+            self._handle(self._input.pop())
+        self._input.resume_reading()
+        if self._input.has_messages:
             return True
         self._finish_input()
         return False
 
-    def _resume_reading(self) -> None:
-        if self._reading_resumed is not None and not self._reading_resumed.done():
-            self._reading_resumed.set_result(None)
-
     def _handle(self, message: Message | None) -> None:
         try:
             if message is None:  # a call that was cancelled before it was handled, and needs no answer
@@ -182,20 +124,25 @@
 
     def _finish_input(self) -> None:
         """Read on, now that all messages are handled, unless the bytes after them cannot be parsed."""
-        self._resume_reading()
-        error, self._input_error = self._input_error, None
+        self._input.resume_reading()
+        error = self._input.take_error()
         if error is not None and self.lifecycle.processes_input:
             log.debug("client input cannot be parsed", error=str(error))
             self.drain("input unreadable")
 
     async def wait_until_handled(self) -> None:
-        """Wait until further input may be read.
+        """Wait until further input may be read."""
+        await self._input.wait_until_handled()
 
-        Input is read ahead of the handling of messages, so that the end of the connection is noticed soon.
-        """
-        while len(self._backlog) >= MAX_READ_AHEAD_MESSAGES:
-            self._reading_resumed = self.loop.create_future()
-            await self._reading_resumed
+    @property
+    def received_bytes(self) -> int:
+        """The number of bytes that were received."""
+        return self._input.received_bytes
+
+    @property
+    def is_within_message(self) -> bool:
+        """Whether a message has begun and is not complete yet."""
+        return self._input.reader.is_within_message
 
     def close_if_left(self) -> bool:
         """Close the connection if its client has closed it, also if earlier input is unread.
@@ -210,12 +157,12 @@
     @property
     def has_unhandled_input(self) -> bool:
         """Whether input was read that is not handled yet."""
-        return bool(self._backlog) or self.stream.has_undelivered_data
+        return self._input.has_messages or self.stream.has_undelivered_data
 
     @property
     def has_unprocessed_input(self) -> bool:
         """Whether messages wait to be handled, or input has arrived that is not processed yet."""
-        return bool(self._backlog) or super().has_unprocessed_input
+        return self._input.has_messages or super().has_unprocessed_input
 
     @property
     def may_have_unread_requests(self) -> bool:
@@ -316,9 +263,8 @@
         self.server.invalid_message_count += 1
         log.debug("invalid message received", reason=reason)
         if message_id is not None:
-            self._fault_replies.add(
-                rpc.encode_reply(rpc.Reply(message_id, FAULT_ERROR, {})), self._write_last
-            )
+            reply = rpc.Reply(message_id, FAULT_ERROR, {})
+            self.fault_replies.add(rpc.encode_reply(reply), self._write_last)
             self.server.eviction.mark_busy(self)
         if self.invalid_message_count >= MAX_INVALID_MESSAGES or message_id is None:
             self.drain("too many invalid messages")
@@ -328,7 +274,7 @@
     @property
     def has_pending_work(self) -> bool:
         """Whether a request or a delayed reply is pending."""
-        return bool(self.open_requests or self._fault_replies)
+        return bool(self.open_requests or self.fault_replies)
 
     def send_reply(self, channel: ReplyChannel, reply: rpc.Reply) -> None:
         """Write the reply to a request unless the request was cancelled."""
@@ -343,43 +289,16 @@
             self.server.eviction.mark_idle(self)
         self.settle()
 
-    def write(self, data: bytes) -> None:
-        """Queue bytes. All bytes queued in one turn of the event loop are sent together at its end."""
-        self._output.append(data)
-        self.schedule_flush()
-
     def _write_last(self, data: bytes) -> None:
         """Queue a delayed reply, after which the connection may be idle."""
         self.write(data)
         self._update_idle()
 
-    def flush(self) -> None:
-        """Write the queued bytes to the stream."""
-        if self._output and not self.stream.closed():
-            data = b"".join(self._output)
-            self._output = []
-            self.write_to_stream(data)
-        self.count_unread()
-
-    def count_unread(self) -> None:
-        """Count the reply bytes that the client has not read."""
-        self._set_unread(self.backlog)
-
-    def _set_unread(self, size: int) -> None:
-        self.server.count_unread(size - self.unread_bytes)
-        self.unread_bytes = size
-
-    @property
-    def has_queued_output(self) -> bool:
-        """Whether queued bytes have not been written to the stream yet."""
-        return bool(self._output) and not self.stream.closed()
-
     # --- timeouts and closing ---
 
     def drain(self, reason: str) -> None:
         """Accept no more requests, answer the open ones, and close the connection."""
-        for reply in self._fault_replies.take_all():
-            self.write(reply)
+        self.write_fault_replies()
         super().drain(reason)
 
     def handle_event(self, event: Event, reason: str) -> None:
@@ -388,17 +307,12 @@
         if not (self.lifecycle.accepts_work or self.lifecycle.is_closed):
             self.server.eviction.mark_closing(self)
 
-    @property
-    def is_within_message(self) -> bool:
-        """Whether a message has begun and is not complete yet."""
-        return self.reader.is_within_message
-
     @property
     def is_idle(self) -> bool:
         """Whether the connection has no open request, partial message, unsent reply or unprocessed input."""
         is_busy = (
             self.has_pending_work
-            or self.reader.is_within_message
+            or self.is_within_message
             or self.has_pending_output
             or self.has_unprocessed_input
         )
@@ -406,20 +320,26 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if the client is idle, or too slow to read replies or to send a message."""
-        self._reject_late_submissions(now)
-        if self.has_pending_output:
-            if self.update_stall() > CONNECTION_LIMITS.stall_timeout:
+        self._waiting_submissions.reject_late(now)
+        match find_overdue(self._activity(now), now):
+            case Overdue.READING:
                 self.abort("replies not read")
-        elif not self.lifecycle.accepts_work:
-            return  # the lifecycle enforces the timeouts of a closing connection
-        elif self.reader.is_within_message:
-            if self._message_timed_out(now):
+            case Overdue.MESSAGE:
                 self.call_after_pending_input(self._drain_unfinished)
-        elif not self.has_sent_message and not self.has_pending_work:
-            if now > self.opened_at + FIRST_MESSAGE_TIMEOUT:
+            case Overdue.REQUEST:
                 self.call_after_pending_input(self._drain_idle)
-        elif now > self.idle_since + IDLE_TIMEOUT:
-            self.call_after_pending_input(self._drain_idle)
+
+    def _activity(self, now: float) -> ClientActivity:
+        return ClientActivity(
+            accepts_work=self.lifecycle.accepts_work,
+            stall_duration=self.update_stall() if self.has_pending_output else None,
+            is_within_message=self.is_within_message,
+            is_message_overdue=self._message_timed_out(now),
+            has_sent_message=self.has_sent_message,
+            has_pending_work=self.has_pending_work,
+            opened_at=self.opened_at,
+            idle_since=self.idle_since,
+        )
 
     def _message_timed_out(self, now: float) -> bool:
         """Return whether a message has started and its rest is overdue.
@@ -427,11 +347,11 @@
         While a request is open, nothing is overdue: the connection could not tell the client that it drops
         the rest of the message before that request is answered.
         """
-        return not self.has_pending_work and self.reader.is_overdue(now, self.idle_since)
+        return not self.has_pending_work and self._input.reader.is_overdue(now, self.idle_since)
 
     def _drain_unfinished(self) -> None:
         if self._message_timed_out(self.loop.time()) and not self.has_unprocessed_input:
-            self._can_parse_input = False
+            self._input.stop_parsing()
             self.drain("message incomplete")
 
     def _drain_idle(self) -> None:
@@ -440,13 +360,10 @@
 
     def on_closed(self, event: Event, reason: str) -> None:
         """Cancel the open requests of a client whose connection has closed."""
-        self._fault_replies.discard()
-        self._backlog.clear()
-        self._waiting_submissions = []
-        self.reader.close()
+        self._input.close()
+        self._waiting_submissions.clear()
         for request in self.open_requests.values():
             self.server.cancel(request.number, request.request_id, may_come_again=False)
         self.open_requests.clear()
-        self._output.clear()
-        self._set_unread(0)
+        self.discard_output()
         self.server.on_connection_closed(self)
--- a/tests/node/test_bad_clients.py
+++ b/tests/node/test_bad_clients.py
@@ -319,9 +319,7 @@
         message = encode_call(1, rid=request_id(1))
         slow_client.send_raw(message[:40])
         await harness.wait_until(
-            lambda: (
-                len(downstream.clients) == 2 and any(c.reader.is_within_message for c in downstream.clients)
-            )
+            lambda: len(downstream.clients) == 2 and any(c.is_within_message for c in downstream.clients)
         )
         await harness.wait_until(lambda: all(now() > c.opened_at + 0.1 for c in downstream.clients))
         assert downstream.evict_now() and await silent_client.wait_closed()
@@ -332,7 +330,7 @@
         partial_client = await harness.client()
         partial_client.send_raw(message[:40])
         await harness.wait_until(
-            lambda: any(c.reader.is_within_message and now() > c.opened_at + 0.1 for c in downstream.clients)
+            lambda: any(c.is_within_message and now() > c.opened_at + 0.1 for c in downstream.clients)
         )
         (idle_connection,) = (c for c in downstream.clients if c.has_sent_message)
         idle_connection.idle_since = now()
--- a/tests/node/test_closing.py
+++ b/tests/node/test_closing.py
@@ -15,7 +15,7 @@
 
 from saffronlane.msgpackrpc import Scanner
 from saffronlane.platform import managed_connection, stream
-from saffronlane.platform.downstream import client_connection, message_reader
+from saffronlane.platform.downstream import client_connection, client_timeouts, message_reader
 from saffronlane.platform.lifecycle import ConnectionLimits, Phase
 from saffronlane.platform.upstream.connection import UpstreamConnection
 
@@ -85,7 +85,7 @@
 
 def test_a_request_received_after_an_idle_close_is_not_dispatched(monkeypatch: pytest.MonkeyPatch) -> None:
     """The request is read after the write side is shut down, so no reply is possible and it must not run."""
-    monkeypatch.setattr(client_connection, "IDLE_TIMEOUT", 0.05)
+    monkeypatch.setattr(client_timeouts, "IDLE_TIMEOUT", 0.05)
 
     async def scenario(harness: Harness) -> None:
         downstream = harness.server.downstream
@@ -120,7 +120,7 @@
         (connection,) = downstream.clients
         client.send(encode_call(2, rid=request_id(2)))
         # The timeouts are checked before the event loop reads the request.
-        connection.check_timeouts(connection.idle_since + client_connection.IDLE_TIMEOUT + 1.0)
+        connection.check_timeouts(connection.idle_since + client_timeouts.IDLE_TIMEOUT + 1.0)
         connection.idle_since -= 1.0
         monkeypatch.setattr(downstream, "max_clients", 1)
         assert not downstream._has_capacity()
@@ -132,7 +132,7 @@
 
 def test_a_slow_reader_receives_complete_replies(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an idle close that cuts off replies which are not written yet."""
-    monkeypatch.setattr(client_connection, "IDLE_TIMEOUT", 0.3)
+    monkeypatch.setattr(client_timeouts, "IDLE_TIMEOUT", 0.3)
     page = (b"x" * 2990 + b"\ty\tz\n") * 2
     pages = 7
 
@@ -227,7 +227,7 @@
 def test_a_client_that_reads_nothing_is_disconnected(monkeypatch: pytest.MonkeyPatch) -> None:
     """Unread replies must not keep the connection open, nor delay the end of the process."""
     monkeypatch.setattr(
-        client_connection, "CONNECTION_LIMITS", client_connection.ConnectionLimits(stall_timeout=0.4)
+        client_timeouts, "CONNECTION_LIMITS", client_timeouts.ConnectionLimits(stall_timeout=0.4)
     )
     page = (b"x" * 2990 + b"\ty\tz\n") * 2
 
@@ -442,7 +442,7 @@
     stall timeout was then closed at its first reply, with all its open requests."""
 
     async def scenario(harness: Harness) -> None:
-        monkeypatch.setattr(client_connection, "CONNECTION_LIMITS", ConnectionLimits(stall_timeout=0.2))
+        monkeypatch.setattr(client_timeouts, "CONNECTION_LIMITS", ConnectionLimits(stall_timeout=0.2))
         had_pending_output, client = [], await harness.client()
         waiting_id = client.call("ask", request_id(2))
         await harness.wait_until(lambda: held_fetches)
@@ -541,7 +541,7 @@
     """The checks of one client and one engine connection fail. The other connections are still closed."""
 
     async def scenario(harness: Harness) -> None:
-        monkeypatch.setattr(client_connection, "FIRST_MESSAGE_TIMEOUT", 0.3)
+        monkeypatch.setattr(client_timeouts, "FIRST_MESSAGE_TIMEOUT", 0.3)
         downstream, upstream = harness.server.downstream, harness.server.upstream
         client = await harness.client()
         assert (await client.read_answer(client.call("ask", request_id(1))))[0] is None
