--- a/saffronlane/platform/stream.py
+++ b/saffronlane/platform/stream.py
@@ -15,9 +15,8 @@
 from tornado.iostream import IOStream
 
 READ_CHUNK_BYTES = 65_536
-LINGER_OFF = struct.pack(
-    "ii", 1, 0
-)  # `struct linger`: drop unsent bytes at a close, and reset the connection
+# A `struct linger` with which a close drops the bytes that were not delivered, and resets the connection.
+LINGER_OFF = struct.pack("ii", 1, 0)
 POLLRDHUP = getattr(select, "POLLRDHUP", 0)  # Linux only; elsewhere a half-close is noticed when it is read
 
 
